Settle the shared types: call context, outcome, error kinds, hop header, clock, timers, lock order

The decisions take the time and random numbers as arguments, so that a trace replays them. Error kinds are split by what they prove: only a NotRunKind can become a not-run outcome.

--- /dev/null
+++ b/src/bin/dragonflylead.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/src/call.rs
@@ -0,0 +1,106 @@
+//! Identity and context of a call.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use strum::EnumIter;
+use strum::EnumString;
+use strum::VariantNames;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Number of cohorts that requests are divided into.
+pub const COHORTS: u16 = 128;
+
+/// Spare attempts of a request whose rule does not state a number.
+pub const DEFAULT_SPARE_ATTEMPTS: u32 = 3;
+
+/// Deepest call chain that is served; a deeper sub-call is not run.
+pub const MAX_DEPTH: u8 = 32;
+
+/// Identifies a user request at every service it touches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId(pub u128);
+
+impl RequestId {
+    /// Derives an id from the text that a caller supplied.
+    pub fn from_text(text: &str) -> RequestId {
+        RequestId(xxhash_rust::xxh3::xxh3_128(text.as_bytes()))
+    }
+
+    /// Returns the cohort of the request, the same at every service.
+    pub fn cohort(self) -> Cohort {
+        let hash = xxh3_64(&self.0.to_le_bytes());
+        Cohort((hash % u64::from(COHORTS)) as u16)
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// A fixed share of all requests, from 0 to [`COHORTS`] - 1. Lower cohorts are shed last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Cohort(pub u16);
+
+/// Importance of a call. The first named is the most important.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    VariantNames,
+)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum Priority {
+    /// Shed last, for example a wallet charge.
+    Critical,
+    /// Shed after normal calls.
+    High,
+    /// The priority of a call without a rule.
+    Normal,
+    /// Shed before normal calls.
+    Low,
+    /// Shed first; the priority of a sub-call without a context.
+    Background,
+}
+
+/// What a call carries from hop to hop.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallContext {
+    /// The user request that this call is part of.
+    pub request: RequestId,
+    /// Priority of the root of the request.
+    pub priority: Priority,
+    /// Whether this call may run more than once.
+    pub idempotent: bool,
+    /// Time left until nobody waits for the answer.
+    pub remaining: Duration,
+    /// Spare attempts that this call and everything below it may still use.
+    pub spare: u32,
+    /// Number of hops between the entry node and this call.
+    pub depth: u8,
+    /// Whether the call was already moved sideways to another instance.
+    pub moved: bool,
+}
+
+impl CallContext {
+    /// Returns the cohort of the request.
+    pub fn cohort(&self) -> Cohort {
+        self.request.cohort()
+    }
+}
--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,1 @@
+//! Caller: the client library.
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,1 @@
+//! Command line of the operator's tool.
--- /dev/null
+++ b/src/coordination/admission.rs
@@ -0,0 +1,1 @@
+//! Admission: slots, the priority queue and preemption.
--- /dev/null
+++ b/src/coordination/config.rs
@@ -0,0 +1,1 @@
+//! Configuration revisions: acceptance, deltas and repair.
--- /dev/null
+++ b/src/coordination/dispatch.rs
@@ -0,0 +1,1 @@
+//! Egress decisions: attempts, retries and rerouting of a call.
--- /dev/null
+++ b/src/coordination/ejection.rs
@@ -0,0 +1,1 @@
+//! Outlier ejection and slow start of instances.
--- /dev/null
+++ b/src/coordination/gossip.rs
@@ -0,0 +1,1 @@
+//! Dissemination of configuration changes between nodes.
--- /dev/null
+++ b/src/coordination/join.rs
@@ -0,0 +1,1 @@
+//! Duplicate lookups that share one run.
--- /dev/null
+++ b/src/coordination/limit.rs
@@ -0,0 +1,1 @@
+//! Concurrency limit learned from latency.
--- /dev/null
+++ b/src/coordination/link.rs
@@ -0,0 +1,1 @@
+//! Byte budget of the link between regions.
--- /dev/null
+++ b/src/coordination/members.rs
@@ -0,0 +1,1 @@
+//! Membership: the published list and what peers observe.
--- /dev/null
+++ b/src/coordination/pause.rs
@@ -0,0 +1,1 @@
+//! Process pauses: what is checked again after one.
--- /dev/null
+++ b/src/coordination/poison.rs
@@ -0,0 +1,1 @@
+//! Poison requests: suspicion, isolation and quarantine.
--- /dev/null
+++ b/src/coordination/reader.rs
@@ -0,0 +1,1 @@
+//! Choice of the nodes that read the platform.
--- /dev/null
+++ b/src/coordination/routing.rs
@@ -0,0 +1,1 @@
+//! Routing: the choice of an instance for an attempt.
--- /dev/null
+++ b/src/coordination/token.rs
@@ -0,0 +1,1 @@
+//! Idempotency tokens: minting, spending and replay of kept answers.
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,1 @@
+//! Demonstration of a surge on loopback.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,37 @@
+//! Overload control for service call graphs.
+//!
+//! One small process, the node, stands beside each target instance. It admits, routes, retries and
+//! sheds calls by the rules of a plain text policy. The decisions live in [`coordination`] and do
+//! no I/O; [`transport`] connects them to callers, targets, the platform and other nodes.
+
+pub mod call;
+pub mod caller;
+pub mod cli;
+pub mod clock;
+pub mod coordination;
+pub mod demo;
+pub mod error;
+pub mod instance;
+pub mod logs;
+pub mod measure;
+pub mod metrics;
+pub mod node;
+pub mod policy;
+pub mod protocol;
+pub mod report;
+pub mod settings;
+pub mod state;
+pub mod status;
+pub mod timer;
+pub mod transport;
+
+pub use call::CallContext;
+pub use call::Priority;
+pub use call::RequestId;
+pub use clock::Clock;
+pub use clock::Time;
+pub use error::ErrorKind;
+pub use error::NotRunKind;
+pub use error::Outcome;
+pub use error::UnknownKind;
+pub use policy::Policy;
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,1 @@
+//! Logs as JSON lines.
--- /dev/null
+++ b/src/measure.rs
@@ -0,0 +1,1 @@
+//! Side-by-side measurement of overload policies.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of a node.
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,1 @@
+//! A node: its tables, ports and tasks.
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,5 @@
+//! Messages and headers that travel between processes, and the table from error kind to answer.
+
+pub mod answer;
+pub mod header;
+pub mod hop;
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,1 @@
+//! Service-level burn from the metrics of live nodes.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of a node.
--- /dev/null
+++ b/src/state/calls.rs
@@ -0,0 +1,1 @@
+//! Table of running calls and their leases.
--- /dev/null
+++ b/src/state/fleet.rs
@@ -0,0 +1,1 @@
+//! View of the fleet: configuration and instances that this node needs.
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,10 @@
+//! The shared tables and the order in which they are locked.
+//!
+//! A thread that holds one table may lock only tables of a higher [`Rank`]. Debug builds assert it.
+
+pub mod calls;
+pub mod fleet;
+mod lock;
+
+pub use lock::Rank;
+pub use lock::Table;
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,1 @@
+//! The fleet at a glance.
--- /dev/null
+++ b/src/transport/egress.rs
@@ -0,0 +1,1 @@
+//! HTTP egress of a node: sub-calls of its own target.
--- /dev/null
+++ b/src/transport/forward.rs
@@ -0,0 +1,1 @@
+//! Forwarding of requests and answers, streamed or held.
--- /dev/null
+++ b/src/transport/ingress.rs
@@ -0,0 +1,1 @@
+//! HTTP ingress of a node: calls from callers and from other nodes.
--- /dev/null
+++ b/src/transport/operator.rs
@@ -0,0 +1,1 @@
+//! Operator port: metrics and status.
--- /dev/null
+++ b/src/transport/peer.rs
@@ -0,0 +1,1 @@
+//! Node-to-node messages by JSON-RPC.
--- /dev/null
+++ b/src/transport/platform.rs
@@ -0,0 +1,1 @@
+//! Adapter to the platform's configuration service and instance list.
