--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,8 +1,12 @@
 //! Connects the decisions to callers, targets, the platform and other nodes.
 
+pub mod abort;
+pub mod body;
 pub mod egress;
 pub mod forward;
+pub mod head;
 pub mod ingress;
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod server;
