--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod protocol;
 pub mod report;
 pub mod settings;
+pub mod standin;
 pub mod state;
 pub mod status;
 pub mod timer;
