--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! time as `now` and draws random numbers from a source that it is given.
 
 pub mod admission;
+pub mod admission_config;
 pub mod budget;
 pub mod config;
 pub mod dispatch;
@@ -15,6 +16,8 @@
 pub mod members;
 pub mod pause;
 pub mod poison;
+pub mod queue;
 pub mod reader;
 pub mod routing;
+pub mod slots;
 pub mod token;
