State when an attempt may follow and bound retries by successes

Whether another instance may be tried stood only in the answer table, which the decisions may not see; it moves to the error kinds, and the table reads it from there, rows unchanged. A service earns 100 retries per thousand successes and starts with 10: one that fails from the start sees 10 retries in 10,000 failures (tests/retries.rs). A request sent again by its caller gets no spare attempts.

--- a/src/error.rs
+++ b/src/error.rs
@@ -103,6 +103,29 @@
     Unknown(UnknownKind),
 }
 
+impl ErrorKind {
+    /// Returns whether another instance may be tried at once.
+    ///
+    /// It says that another instance may do better, not that running the call twice is harmless.
+    pub fn try_other(self) -> bool {
+        match self {
+            ErrorKind::NotRun(kind) => matches!(
+                kind,
+                NotRunKind::Overloaded
+                    | NotRunKind::Draining
+                    | NotRunKind::TokensExhausted
+                    | NotRunKind::TargetRefused
+                    | NotRunKind::NotReady
+                    | NotRunKind::Version
+            ),
+            ErrorKind::Unknown(kind) => matches!(
+                kind,
+                UnknownKind::ConnectionLost | UnknownKind::AnswerTruncated | UnknownKind::Preempted
+            ),
+        }
+    }
+}
+
 impl From<NotRunKind> for ErrorKind {
     fn from(kind: NotRunKind) -> ErrorKind {
         ErrorKind::NotRun(kind)
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -20,61 +20,60 @@
 const SOON: Option<Duration> = Some(Duration::from_secs(1));
 const LATER: Option<Duration> = Some(Duration::from_secs(30));
 
-const fn row(status: u16, retry_after: Option<Duration>, try_other: bool) -> Answer {
-    Answer {
-        status,
-        retry_after,
-        try_other,
-    }
-}
+type Row = (u16, Option<Duration>);
 
 /// Returns how `kind` is told to a caller.
 pub fn answer(kind: ErrorKind) -> Answer {
-    match kind {
+    let (status, retry_after) = match kind {
         ErrorKind::NotRun(kind) => not_run(kind),
         ErrorKind::Unknown(kind) => unknown(kind),
+    };
+    Answer {
+        status,
+        retry_after,
+        try_other: kind.try_other(),
     }
 }
 
-fn not_run(kind: NotRunKind) -> Answer {
+fn not_run(kind: NotRunKind) -> Row {
     match kind {
-        NotRunKind::Overloaded => row(503, SOON, true),
-        NotRunKind::Shed => row(503, SOON, false),
-        NotRunKind::DeadlineInQueue => row(504, None, false),
-        NotRunKind::Draining => row(503, SOON, true),
-        NotRunKind::TokenRequired => row(428, None, false),
-        NotRunKind::TokenBurned => row(409, None, false),
-        NotRunKind::TokensExhausted => row(503, SOON, true),
-        NotRunKind::RequestMismatch => row(422, None, false),
-        NotRunKind::ParentEnded => row(410, None, false),
-        NotRunKind::ContextUnknown => row(403, None, false),
-        NotRunKind::HopRejected => row(403, None, false),
-        NotRunKind::TooDeep => row(508, None, false),
-        NotRunKind::NoSuchService => row(404, None, false),
-        NotRunKind::NoInstance => row(503, SOON, false),
-        NotRunKind::LinkBudget => row(503, SOON, false),
-        NotRunKind::TargetRefused => row(503, SOON, true),
-        NotRunKind::Quarantined => row(503, LATER, false),
-        NotRunKind::BadRequest => row(400, None, false),
-        NotRunKind::HeadersTooLarge => row(431, None, false),
-        NotRunKind::BodyTooLarge => row(413, None, false),
-        NotRunKind::NotReady => row(503, SOON, true),
-        NotRunKind::Withdrawn => row(499, None, false),
-        NotRunKind::Version => row(505, None, true),
+        NotRunKind::Overloaded => (503, SOON),
+        NotRunKind::Shed => (503, SOON),
+        NotRunKind::DeadlineInQueue => (504, None),
+        NotRunKind::Draining => (503, SOON),
+        NotRunKind::TokenRequired => (428, None),
+        NotRunKind::TokenBurned => (409, None),
+        NotRunKind::TokensExhausted => (503, SOON),
+        NotRunKind::RequestMismatch => (422, None),
+        NotRunKind::ParentEnded => (410, None),
+        NotRunKind::ContextUnknown => (403, None),
+        NotRunKind::HopRejected => (403, None),
+        NotRunKind::TooDeep => (508, None),
+        NotRunKind::NoSuchService => (404, None),
+        NotRunKind::NoInstance => (503, SOON),
+        NotRunKind::LinkBudget => (503, SOON),
+        NotRunKind::TargetRefused => (503, SOON),
+        NotRunKind::Quarantined => (503, LATER),
+        NotRunKind::BadRequest => (400, None),
+        NotRunKind::HeadersTooLarge => (431, None),
+        NotRunKind::BodyTooLarge => (413, None),
+        NotRunKind::NotReady => (503, SOON),
+        NotRunKind::Withdrawn => (499, None),
+        NotRunKind::Version => (505, None),
     }
 }
 
-fn unknown(kind: UnknownKind) -> Answer {
+fn unknown(kind: UnknownKind) -> Row {
     match kind {
-        UnknownKind::ConnectionLost => row(502, None, true),
-        UnknownKind::AnswerTruncated => row(502, None, true),
-        UnknownKind::Deadline => row(504, None, false),
-        UnknownKind::Cancelled => row(499, None, false),
-        UnknownKind::Preempted => row(503, SOON, true),
-        UnknownKind::TargetCrashed => row(502, None, false),
-        UnknownKind::TokenForeign => row(409, None, false),
-        UnknownKind::TokenExpired => row(409, None, false),
-        UnknownKind::InProgress => row(409, SOON, false),
-        UnknownKind::AnswerNotKept => row(409, None, false),
+        UnknownKind::ConnectionLost => (502, None),
+        UnknownKind::AnswerTruncated => (502, None),
+        UnknownKind::Deadline => (504, None),
+        UnknownKind::Cancelled => (499, None),
+        UnknownKind::Preempted => (503, SOON),
+        UnknownKind::TargetCrashed => (502, None),
+        UnknownKind::TokenForeign => (409, None),
+        UnknownKind::TokenExpired => (409, None),
+        UnknownKind::InProgress => (409, SOON),
+        UnknownKind::AnswerNotKept => (409, None),
     }
 }
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -56,3 +56,24 @@
 pub fn is_forwarded(name: &str) -> bool {
     !HOP_BY_HOP.iter().any(|h| h.eq_ignore_ascii_case(name))
 }
+
+/// Headers that differ between two copies of the same request without changing its meaning.
+pub const PER_COPY: [&str; 6] = [
+    "content-length",
+    "date",
+    "traceparent",
+    "tracestate",
+    "x-forwarded-for",
+    "x-request-id",
+];
+
+/// Returns whether a header named `name` is part of what a request asks for.
+///
+/// Any header that is not known to be harmless counts, as it may change the answer.
+pub fn is_fingerprinted(name: &str) -> bool {
+    let per_copy = PER_COPY.iter().any(|h| h.eq_ignore_ascii_case(name));
+    let own = name
+        .get(..PREFIX.len())
+        .is_some_and(|start| start.eq_ignore_ascii_case(PREFIX));
+    is_forwarded(name) && !per_copy && !own
+}
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,281 @@
+//! Retry budgets: who may be retried, and how much a failing service sees.
+
+use dragonflylead::ErrorKind;
+use dragonflylead::Fingerprint;
+use dragonflylead::NotRunKind;
+use dragonflylead::RequestId;
+use dragonflylead::Time;
+use dragonflylead::UnknownKind;
+use dragonflylead::coordination::budget::INITIAL_RETRIES;
+use dragonflylead::coordination::budget::MAX_REQUESTS;
+use dragonflylead::coordination::budget::MAX_RETRIES;
+use dragonflylead::coordination::budget::MAX_SERVICES;
+use dragonflylead::coordination::budget::REQUEST_KEPT;
+use dragonflylead::coordination::budget::RetryAllowance;
+use dragonflylead::coordination::budget::SeenRequests;
+use dragonflylead::coordination::budget::Sighting;
+use dragonflylead::coordination::budget::entry_spare;
+use dragonflylead::coordination::budget::may_follow;
+use dragonflylead::fingerprint::RequestParts;
+use dragonflylead::instance::ServiceName;
+use dragonflylead::protocol::answer::answer;
+use dragonflylead::protocol::header::is_fingerprinted;
+use strum::IntoEnumIterator;
+
+#[test]
+fn attempts_follow_only_where_it_is_safe() {
+    struct Case {
+        kind: ErrorKind,
+        lookup: bool,
+        charge: bool,
+    }
+    let cases = [
+        Case {
+            kind: NotRunKind::Draining.into(),
+            lookup: true,
+            charge: true,
+        },
+        Case {
+            kind: NotRunKind::Overloaded.into(),
+            lookup: true,
+            charge: true,
+        },
+        Case {
+            kind: NotRunKind::Shed.into(),
+            lookup: false,
+            charge: false,
+        },
+        Case {
+            kind: NotRunKind::Quarantined.into(),
+            lookup: false,
+            charge: false,
+        },
+        Case {
+            kind: UnknownKind::ConnectionLost.into(),
+            lookup: true,
+            charge: false,
+        },
+        Case {
+            kind: UnknownKind::Preempted.into(),
+            lookup: true,
+            charge: false,
+        },
+        Case {
+            kind: UnknownKind::TargetCrashed.into(),
+            lookup: false,
+            charge: false,
+        },
+    ];
+    for case in cases {
+        assert_eq!(may_follow(true, case.kind), case.lookup, "{:?}", case.kind);
+        assert_eq!(may_follow(false, case.kind), case.charge, "{:?}", case.kind);
+    }
+    for kind in UnknownKind::iter().map(ErrorKind::from) {
+        assert!(!may_follow(false, kind), "{kind:?}");
+        assert_eq!(answer(kind).try_other, kind.try_other());
+    }
+}
+
+#[test]
+fn a_failing_service_sees_almost_no_retries() {
+    struct Case {
+        name: &'static str,
+        successes: u64,
+        failures: u64,
+        retries: u64,
+    }
+    let cases = [
+        Case {
+            name: "failing from the start",
+            successes: 0,
+            failures: 10_000,
+            retries: INITIAL_RETRIES,
+        },
+        Case {
+            name: "some successes, then failing",
+            successes: 50,
+            failures: 10_000,
+            retries: INITIAL_RETRIES + 5,
+        },
+        Case {
+            name: "long healthy, then failing",
+            successes: 1_000_000,
+            failures: 10_000,
+            retries: MAX_RETRIES,
+        },
+    ];
+    let service = ServiceName::new("sanidad");
+    for case in cases {
+        let mut allowance = RetryAllowance::new();
+        (0..case.successes).for_each(|_| allowance.success(&service));
+        let retries = (0..case.failures)
+            .filter(|_| allowance.take(&service))
+            .count();
+        assert_eq!(retries as u64, case.retries, "{}", case.name);
+        assert_eq!(allowance.left(&service), 0);
+        (0..20).for_each(|_| allowance.success(&service));
+        assert_eq!(allowance.left(&service), 2);
+    }
+}
+
+#[test]
+fn allowances_are_bounded() {
+    let mut allowance = RetryAllowance::new();
+    for n in 0..MAX_SERVICES {
+        assert!(allowance.take(&ServiceName::new(&n.to_string())));
+    }
+    assert!(!allowance.take(&ServiceName::new("one-more")));
+    assert!(allowance.take(&ServiceName::new("0")));
+}
+
+#[test]
+fn a_resent_request_gets_no_spare_attempts() {
+    struct Case {
+        name: &'static str,
+        attempt: u32,
+        id: u128,
+        body: u8,
+        now: Time,
+        want: (Sighting, u32),
+    }
+    let early = Time::from_millis(1);
+    let cases = [
+        Case {
+            name: "first",
+            attempt: 0,
+            id: 1,
+            body: 1,
+            now: early,
+            want: (Sighting::First, 3),
+        },
+        Case {
+            name: "same id again",
+            attempt: 0,
+            id: 1,
+            body: 1,
+            now: early,
+            want: (Sighting::Again, 0),
+        },
+        Case {
+            name: "same id, other body",
+            attempt: 0,
+            id: 1,
+            body: 2,
+            now: early,
+            want: (Sighting::Mismatch, 0),
+        },
+        Case {
+            name: "the caller says that it sent it before",
+            attempt: 1,
+            id: 2,
+            body: 1,
+            now: early,
+            want: (Sighting::First, 0),
+        },
+        Case {
+            name: "forgotten",
+            attempt: 0,
+            id: 1,
+            body: 2,
+            now: early.plus(REQUEST_KEPT),
+            want: (Sighting::First, 3),
+        },
+    ];
+    let mut seen = SeenRequests::new();
+    for case in cases {
+        let sighting = seen.note(case.now, RequestId(case.id), Fingerprint([case.body; 16]));
+        let spare = entry_spare(3, case.attempt, sighting);
+        assert_eq!((sighting, spare), case.want, "{}", case.name);
+    }
+    for id in 0..2 * MAX_REQUESTS as u128 {
+        seen.note(early, RequestId(id), Fingerprint([0; 16]));
+    }
+    assert_eq!(seen.len(), MAX_REQUESTS);
+}
+
+const BASE: RequestParts<'_> = RequestParts {
+    caller: "franchise-17",
+    service: "payments",
+    method: "POST",
+    path: "/charge",
+    headers: &[("accept", b"text/plain"), ("x-society", b"9")],
+    body: b"rupees=100",
+};
+
+#[test]
+fn fingerprints_tell_requests_apart() {
+    struct Case {
+        name: &'static str,
+        parts: RequestParts<'static>,
+        same: bool,
+    }
+    let cases = [
+        Case {
+            name: "order and case of header names",
+            parts: RequestParts {
+                headers: &[("X-Society", b"9"), ("Accept", b"text/plain")],
+                ..BASE
+            },
+            same: true,
+        },
+        Case {
+            name: "caller",
+            parts: RequestParts {
+                caller: "franchise-18",
+                ..BASE
+            },
+            same: false,
+        },
+        Case {
+            name: "method",
+            parts: RequestParts {
+                method: "PUT",
+                ..BASE
+            },
+            same: false,
+        },
+        Case {
+            name: "header value",
+            parts: RequestParts {
+                headers: &[("accept", b"text/plain"), ("x-society", b"8")],
+                ..BASE
+            },
+            same: false,
+        },
+        Case {
+            name: "body",
+            parts: RequestParts {
+                body: b"rupees=101",
+                ..BASE
+            },
+            same: false,
+        },
+        Case {
+            name: "bytes moved between parts",
+            parts: RequestParts {
+                method: "POST/",
+                path: "charge",
+                ..BASE
+            },
+            same: false,
+        },
+        Case {
+            name: "header moved into the body",
+            parts: RequestParts {
+                headers: &[("accept", b"text/plain")],
+                body: b"x-society9rupees=100",
+                ..BASE
+            },
+            same: false,
+        },
+    ];
+    let base = BASE.fingerprint();
+    for case in cases {
+        let same = case.parts.fingerprint() == base;
+        assert_eq!(same, case.same, "{}", case.name);
+    }
+    let counted = ["Authorization", "x-tenant", "accept"];
+    let ignored = ["dfl-attempt", "Traceparent", "connection", "DFL-Token"];
+    assert!(counted.iter().all(|name| is_fingerprinted(name)));
+    assert!(!ignored.iter().any(|name| is_fingerprinted(name)));
+}
