Route attempts: two choices over bounded subsets, ejection, slow start, link budget

Cause: a sub-call needs an instance, and the nearest one may be slow, busy, failing, cold or leaving.

--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -1,1 +1,363 @@
 //! Routing: the choice of an instance for an attempt.
+//!
+//! A node knows a bounded subset of the instances of each service it calls, nearest first: those of
+//! its own failure domain, those of its region, and those of other regions. An attempt goes to the
+//! cheaper of two that are drawn at random from the nearest place that is not busy. Other regions
+//! are used only if the rule allows it and while the byte budget of the link lasts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::Rng;
+use strum::Display;
+use strum::EnumIter;
+
+use crate::call::Priority;
+use crate::clock::Time;
+use crate::coordination::draw::Draw;
+use crate::coordination::ejection::EjectionConfig;
+use crate::coordination::group::Group;
+use crate::coordination::link::Charge;
+use crate::coordination::link::LinkBudget;
+use crate::coordination::link::LinkConfig;
+use crate::coordination::score::ScoreConfig;
+use crate::coordination::subset;
+use crate::coordination::subset::SubsetConfig;
+use crate::coordination::target::Observation;
+use crate::coordination::target::TargetState;
+use crate::error::NotRunKind;
+use crate::instance::DomainName;
+use crate::instance::Incarnation;
+use crate::instance::Instance;
+use crate::instance::InstanceName;
+use crate::instance::RegionName;
+use crate::instance::ServiceName;
+
+/// Most services that a node routes to.
+pub const MAX_SERVICES: usize = 256;
+
+/// How an instance is drawn from those that may be used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Strategy {
+    /// Any.
+    Random,
+    /// Each in turn.
+    RoundRobin,
+    /// The cheaper of two.
+    #[default]
+    TwoChoices,
+}
+
+/// Settings of the router. Each mechanism can be switched off for a comparison.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RoutingConfig {
+    /// How an instance is drawn.
+    pub strategy: Strategy,
+    /// Sizes of the subset.
+    pub subset: SubsetConfig,
+    /// What the cost of an instance consists of.
+    pub score: ScoreConfig,
+    /// Outlier ejection and slow start.
+    pub ejection: EjectionConfig,
+    /// Byte budget of the link between regions.
+    pub link: LinkConfig,
+    /// Whether distance is disregarded.
+    pub ignore_place: bool,
+    /// Whether draining is disregarded.
+    pub ignore_draining: bool,
+    /// Whether an instance may be tried again while others were not.
+    pub repeat_tried: bool,
+}
+
+/// Where this node stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Own instance.
+    pub instance: InstanceName,
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Own region.
+    pub region: RegionName,
+}
+
+/// Distance of an instance from this node, nearest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Place {
+    /// In the same failure domain.
+    Domain,
+    /// In another failure domain of the same region.
+    Region,
+    /// In another region.
+    Abroad,
+}
+
+/// What an attempt needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// Service that is called.
+    pub service: &'a ServiceName,
+    /// Priority of the call.
+    pub priority: Priority,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Whether the call may leave its region.
+    pub cross_region: bool,
+    /// Instances that this call was sent to already.
+    pub tried: &'a [InstanceName],
+}
+
+impl Want<'_> {
+    /// Returns whether the call may spend the reserved part of the link's byte budget.
+    pub fn is_critical(&self) -> bool {
+        !self.idempotent || self.priority == Priority::Critical
+    }
+}
+
+/// The instance that an attempt goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pick {
+    /// Service of the instance.
+    pub service: ServiceName,
+    /// The instance.
+    pub instance: InstanceName,
+    /// Address of its node's ingress port.
+    pub ingress: SocketAddr,
+    /// Its distance.
+    pub place: Place,
+    /// What the attempt costs of the link's byte budget.
+    pub charge: Option<Charge>,
+}
+
+/// The choice for an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// Send it there.
+    Send(Pick),
+    /// It cannot be sent.
+    None(NotRunKind),
+}
+
+/// State of one target, for status and metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetView<'a> {
+    /// The instance.
+    pub instance: &'a Instance,
+    /// Its distance.
+    pub place: Place,
+    /// Calls that are not answered yet.
+    pub in_flight: u32,
+    /// Load told last, decayed.
+    pub load: f64,
+    /// Whether it is ejected.
+    pub ejected: bool,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// Chooses instances and keeps what was observed of them.
+#[derive(Debug)]
+pub struct Router {
+    cfg: RoutingConfig,
+    home: Home,
+    groups: BTreeMap<ServiceName, Group>,
+    link: LinkBudget,
+    ejections: u64,
+}
+
+impl Router {
+    /// Builds a router that knows no instance.
+    pub fn new(home: Home, cfg: RoutingConfig, now: Time) -> Router {
+        let link = LinkBudget::new(&cfg.link, now);
+        Router {
+            cfg,
+            home,
+            groups: BTreeMap::new(),
+            link,
+            ejections: 0,
+        }
+    }
+
+    /// Takes over the published list; instances that are not in it are forgotten.
+    pub fn sync(&mut self, instances: &[Instance], now: Time) {
+        let mut lists: BTreeMap<&ServiceName, Vec<&Instance>> = BTreeMap::new();
+        for instance in instances {
+            lists.entry(&instance.service).or_default().push(instance);
+        }
+        let mut known = std::mem::take(&mut self.groups);
+        for (service, list) in lists.into_iter().take(MAX_SERVICES) {
+            let old = known.remove(service).unwrap_or_default();
+            let group = self.merge(old, &list, now);
+            self.groups.insert(service.clone(), group);
+        }
+    }
+
+    /// Returns the instance for an attempt.
+    pub fn choose<R>(&mut self, want: &Want<'_>, now: Time, rng: &mut R) -> Choice
+    where
+        R: Rng,
+    {
+        let Some(group) = self.groups.get_mut(want.service) else {
+            return Choice::None(NotRunKind::NoInstance);
+        };
+        let quote = match want.cross_region {
+            true => self.link.quote(want.is_critical(), now),
+            false => None,
+        };
+        let draw = Draw {
+            cfg: &self.cfg,
+            want,
+            abroad: quote.is_some(),
+            now,
+        };
+        let Some(i) = draw.any(group, rng) else {
+            let kept_home = want.cross_region && quote.is_none();
+            let abroad = group.targets.iter().any(|t| t.place == Place::Abroad);
+            let kind = match kept_home && abroad {
+                true => NotRunKind::LinkBudget,
+                false => NotRunKind::NoInstance,
+            };
+            return Choice::None(kind);
+        };
+        let target = &group.targets[i];
+        Choice::Send(Pick {
+            service: want.service.clone(),
+            instance: target.instance.name.clone(),
+            ingress: target.instance.ingress,
+            place: target.place,
+            charge: quote.filter(|_| target.place == Place::Abroad),
+        })
+    }
+
+    /// Notes that an attempt is sent.
+    pub fn sent(&mut self, pick: &Pick, now: Time) {
+        if let Some(charge) = &pick.charge {
+            self.link.charge(charge, now);
+        }
+        if let Some(target) = self.target(&pick.service, &pick.instance) {
+            target.score.sent();
+            target.health.sent();
+        }
+    }
+
+    /// Notes how an attempt ended. Each attempt that was sent is ended once.
+    pub fn answered(&mut self, pick: &Pick, seen: &Observation, now: Time) {
+        if let Some(charge) = &pick.charge {
+            self.link.settle(charge, seen.bytes, now);
+        }
+        let Some(group) = self.groups.get_mut(&pick.service) else {
+            return;
+        };
+        let room = group.has_room(&self.cfg.ejection);
+        let Some(target) = group.find(&pick.instance) else {
+            return;
+        };
+        let eject = target.answered(seen, now, &self.cfg.score, &self.cfg.ejection);
+        if eject && (room || target.health.is_ejected()) {
+            let jitter = jitter(&self.home.instance, &pick.instance);
+            target.health.eject(jitter, now, &self.cfg.ejection);
+            self.ejections += 1;
+        }
+        if let Some(latency_us) = target.score.latency_us() {
+            group.note_latency(latency_us);
+        }
+    }
+
+    /// Notes health as reported by somebody else, a hint that own observation overrides.
+    pub fn reported(
+        &mut self,
+        service: &ServiceName,
+        instance: &InstanceName,
+        healthy: bool,
+        now: Time,
+    ) {
+        if let Some(target) = self.target(service, instance) {
+            target.score.reported(healthy, now);
+        }
+    }
+
+    /// Notes the incarnation of an instance and whether it is leaving, as told by a peer.
+    pub fn told(
+        &mut self,
+        service: &ServiceName,
+        instance: &InstanceName,
+        incarnation: Incarnation,
+        draining: bool,
+        now: Time,
+    ) {
+        if let Some(target) = self.target(service, instance) {
+            target.told(Some(incarnation), draining, now);
+        }
+    }
+
+    /// Returns the byte budget of the link between regions.
+    pub fn link(&self) -> &LinkBudget {
+        &self.link
+    }
+
+    /// Returns how often an instance was ejected since the start.
+    pub fn ejections(&self) -> u64 {
+        self.ejections
+    }
+
+    /// Returns the state of each known target, sorted by service and name.
+    pub fn targets(&self, now: Time) -> impl Iterator<Item = TargetView<'_>> {
+        let targets = self.groups.values().flat_map(|group| &group.targets);
+        targets.map(move |t| TargetView {
+            instance: &t.instance,
+            place: t.place,
+            in_flight: t.score.in_flight(),
+            load: t.score.load(now),
+            ejected: t.health.is_ejected(),
+            draining: t.is_draining(now),
+        })
+    }
+
+    fn target(
+        &mut self,
+        service: &ServiceName,
+        instance: &InstanceName,
+    ) -> Option<&mut TargetState> {
+        self.groups.get_mut(service)?.find(instance)
+    }
+
+    fn merge(&self, mut old_group: Group, list: &[&Instance], now: Time) -> Group {
+        let first_time = old_group.targets.is_empty();
+        let mut known: BTreeMap<InstanceName, TargetState> = old_group
+            .targets
+            .drain(..)
+            .map(|t| (t.instance.name.clone(), t))
+            .collect();
+        let placed: Vec<(Place, &Instance)> =
+            list.iter().map(|i| (self.home.place(i), *i)).collect();
+        let mut targets: Vec<TargetState> = self
+            .cfg
+            .subset
+            .select(&self.home.instance, &placed)
+            .into_iter()
+            .map(|(place, instance)| match known.remove(&instance.name) {
+                Some(t) if t.instance.ingress == instance.ingress => t.listed(instance, place, now),
+                _ => TargetState::new(instance, place, !first_time, now),
+            })
+            .collect();
+        targets.sort_by(|a, b| a.instance.name.cmp(&b.instance.name));
+        targets.dedup_by(|a, b| a.instance.name == b.instance.name);
+        old_group.replaced(targets, &self.cfg.ejection)
+    }
+}
+
+impl Home {
+    fn place(&self, instance: &Instance) -> Place {
+        if instance.domain == self.domain {
+            Place::Domain
+        } else if instance.region == self.region {
+            Place::Region
+        } else {
+            Place::Abroad
+        }
+    }
+}
+
+fn jitter(own: &InstanceName, other: &InstanceName) -> f64 {
+    subset::rank(own, other) as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/src/coordination/target.rs
@@ -0,0 +1,191 @@
+//! What a node keeps of one instance that it sends calls to.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::coordination::ejection::EjectionConfig;
+use crate::coordination::ejection::Health;
+use crate::coordination::routing::Place;
+use crate::coordination::score::Score;
+use crate::coordination::score::ScoreConfig;
+use crate::instance::Incarnation;
+use crate::instance::Instance;
+use crate::instance::InstanceState;
+
+/// Span after which an instance that was said to be leaving, and is listed as live, is asked again.
+pub const DRAINING_SPAN: Duration = Duration::from_secs(120);
+
+/// How an attempt ended, as far as the instance is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered as it should, be it with a refusal that is the call's own fault.
+    Worked,
+    /// It could not be reached, broke off, was too late, or the target crashed.
+    Failed,
+    /// It refused for lack of room or because it is leaving.
+    Refused,
+    /// The attempt was withdrawn; nothing was learned.
+    Abandoned,
+}
+
+/// What an attempt told about an instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Observation {
+    /// How it ended.
+    pub verdict: Verdict,
+    /// Time from sending to the end.
+    pub latency: Duration,
+    /// Load told in the answer, 1 for all slots taken.
+    pub load: Option<f64>,
+    /// Incarnation told in the answer.
+    pub incarnation: Option<Incarnation>,
+    /// Whether the answer told that the instance is leaving.
+    pub draining: bool,
+    /// Bytes sent and received.
+    pub bytes: u64,
+}
+
+impl Observation {
+    /// Builds the observation of an attempt that told nothing but how and when it ended.
+    pub fn of(verdict: Verdict, latency: Duration) -> Observation {
+        Observation {
+            verdict,
+            latency,
+            load: None,
+            incarnation: None,
+            draining: false,
+            bytes: 0,
+        }
+    }
+}
+
+/// State of one target.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// The instance as published.
+    pub instance: Instance,
+    /// Its distance.
+    pub place: Place,
+    /// What calls to it cost.
+    pub score: Score,
+    /// Ejection and slow start.
+    pub health: Health,
+    incarnation: Option<Incarnation>,
+    previous: Option<Incarnation>,
+    draining: Option<Time>,
+}
+
+impl TargetState {
+    /// Builds the state of an instance that was not known, `cold` if it started lately.
+    pub fn new(instance: &Instance, place: Place, cold: bool, now: Time) -> TargetState {
+        let health = match cold {
+            true => Health::cold(now),
+            false => Health::warm(),
+        };
+        let mut target = TargetState {
+            instance: instance.clone(),
+            place,
+            score: Score::default(),
+            health,
+            incarnation: None,
+            previous: None,
+            draining: None,
+        };
+        target.note_listed(now);
+        target
+    }
+
+    /// Takes over what the list says of a known instance.
+    pub fn listed(mut self, instance: &Instance, place: Place, now: Time) -> TargetState {
+        self.instance = instance.clone();
+        self.place = place;
+        self.note_listed(now);
+        self
+    }
+
+    /// Returns whether the instance takes no new work.
+    ///
+    /// A list that still says, or says again, that the instance is live does not change it.
+    pub fn is_draining(&self, now: Time) -> bool {
+        self.draining
+            .is_some_and(|told| now.since(told) < DRAINING_SPAN)
+    }
+
+    /// Takes over what the instance or a peer told of its incarnation and draining.
+    pub fn told(&mut self, incarnation: Option<Incarnation>, draining: bool, now: Time) {
+        if incarnation.is_some() && incarnation == self.previous {
+            return;
+        }
+        if incarnation.is_some() && incarnation != self.incarnation {
+            self.restarted(incarnation, now);
+        }
+        if draining {
+            self.draining = Some(now);
+        }
+    }
+
+    /// Takes over how an attempt ended and returns whether the instance ought to be ejected.
+    pub fn answered(
+        &mut self,
+        seen: &Observation,
+        now: Time,
+        score: &ScoreConfig,
+        ejection: &EjectionConfig,
+    ) -> bool {
+        self.score.ended();
+        self.told(seen.incarnation, seen.draining, now);
+        let late = seen.incarnation.is_some() && seen.incarnation == self.previous;
+        if late {
+            self.health.abandoned();
+            return false;
+        }
+        let eject = self.note_verdict(seen, now, score, ejection);
+        if let Some(load) = seen.load.filter(|_| seen.verdict != Verdict::Refused) {
+            self.score.loaded(load, now);
+        }
+        eject
+    }
+
+    fn note_verdict(
+        &mut self,
+        seen: &Observation,
+        now: Time,
+        score: &ScoreConfig,
+        ejection: &EjectionConfig,
+    ) -> bool {
+        match seen.verdict {
+            Verdict::Worked => {
+                self.score.succeeded(seen.latency, now);
+                self.health.succeeded(now);
+            }
+            Verdict::Failed => {
+                self.score.failed(seen.latency, now, score);
+                return self.health.failed(self.score.failure_share(now), ejection);
+            }
+            Verdict::Refused => {
+                self.score.refused(now);
+                self.health.abandoned();
+            }
+            Verdict::Abandoned => self.health.abandoned(),
+        }
+        false
+    }
+
+    fn note_listed(&mut self, now: Time) {
+        if self.instance.state == InstanceState::Leaving {
+            self.draining = Some(now);
+        }
+    }
+
+    fn restarted(&mut self, incarnation: Option<Incarnation>, now: Time) {
+        let first_seen = self.incarnation.is_none();
+        self.previous = self.incarnation;
+        self.incarnation = incarnation;
+        if first_seen {
+            return;
+        }
+        self.draining = None;
+        self.health = Health::cold(now);
+        self.score.forget();
+    }
+}
