--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,1 +1,218 @@
-//! Caller: the client library.
+//! Caller: the client library. It picks an entry node, holds idempotency tokens and returns one
+//! typed outcome.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
+
+use crate::call::RequestId;
+use crate::error::ErrorKind;
+use crate::error::NotRunKind;
+use crate::error::Outcome;
+use crate::error::UnknownKind;
+use crate::protocol::header;
+use crate::transport::body::AnswerBody;
+use crate::transport::forward;
+use crate::transport::forward::Answer;
+use crate::transport::told;
+
+/// Times that a caller sends a request again, where its settings state nothing.
+pub const DEFAULT_RESENDS: u32 = 1;
+
+/// Largest answer that a caller takes, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Idempotency tokens held for each entry node.
+const TOKENS_PER_ENTRY: usize = 16;
+
+/// A request to the service behind the entry nodes.
+#[derive(Clone, Debug)]
+pub struct CallRequest<'a> {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers of the application.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Time that the caller waits.
+    pub timeout: Duration,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Sends requests to the entry nodes of one service.
+pub struct Caller {
+    entries: Vec<SocketAddr>,
+    resends: u32,
+    client: reqwest::Client,
+    next: AtomicUsize,
+    tokens: Mutex<HashMap<SocketAddr, Vec<String>>>,
+    rng: Mutex<ChaCha12Rng>,
+}
+
+impl Caller {
+    /// Builds a caller of the service whose nodes serve `entries`.
+    ///
+    /// # Errors
+    ///
+    /// If there is no entry, or the HTTP client cannot be set up.
+    pub fn new(entries: &[SocketAddr], resends: u32, seed: u64) -> io::Result<Caller> {
+        if entries.is_empty() {
+            return Err(io::Error::other("a caller needs at least one entry node"));
+        }
+        Ok(Caller {
+            entries: entries.to_vec(),
+            resends,
+            client: forward::client()?,
+            next: AtomicUsize::new(0),
+            tokens: Mutex::default(),
+            rng: Mutex::new(ChaCha12Rng::seed_from_u64(seed)),
+        })
+    }
+
+    /// Sends a request, again if its outcome allows it, and returns what became of it.
+    pub async fn call(&self, req: &CallRequest<'_>) -> Outcome<CallAnswer> {
+        let id = self.new_request_id();
+        let started = tokio::time::Instant::now();
+        let mut outcome = self.attempt(req, id, 0, req.timeout).await;
+        for attempt in 1..=self.resends {
+            let left = req.timeout.saturating_sub(started.elapsed());
+            if left.is_zero() || !may_resend(&outcome, req.idempotent) {
+                break;
+            }
+            outcome = outcome.after(self.attempt(req, id, attempt, left).await);
+        }
+        outcome
+    }
+
+    async fn attempt(
+        &self,
+        req: &CallRequest<'_>,
+        id: RequestId,
+        attempt: u32,
+        left: Duration,
+    ) -> Outcome<CallAnswer> {
+        let entry = self.entries[self.next.fetch_add(1, Ordering::Relaxed) % self.entries.len()];
+        let token = self.take_token(entry, req.idempotent);
+        let had_token = token.is_some();
+        let (outcome, offered) = self.send(req, entry, id, attempt, token, left).await;
+        let without_token = outcome == Outcome::NotRun(NotRunKind::TokenRequired);
+        if let (true, false, Some(token)) = (without_token, had_token, &offered) {
+            let (outcome, offered) = self
+                .send(req, entry, id, attempt, Some(token.clone()), left)
+                .await;
+            self.keep_token(entry, offered);
+            return outcome;
+        }
+        self.keep_token(entry, offered);
+        outcome
+    }
+
+    async fn send(
+        &self,
+        req: &CallRequest<'_>,
+        entry: SocketAddr,
+        id: RequestId,
+        attempt: u32,
+        token: Option<String>,
+        left: Duration,
+    ) -> (Outcome<CallAnswer>, Option<String>) {
+        let mut builder = self
+            .client
+            .request(req.method.clone(), format!("http://{entry}{}", req.path))
+            .headers(req.headers.clone())
+            .header(header::REQUEST_ID, id.to_string())
+            .header(header::ATTEMPT, attempt)
+            .header(header::TIMEOUT_MS, left.as_millis().to_string());
+        if let Some(token) = token {
+            builder = builder.header(header::TOKEN, token);
+        }
+        if !req.body.is_empty() {
+            builder = builder.body(req.body.clone());
+        }
+        let sending = forward::send(builder, MAX_ANSWER_BYTES);
+        match tokio::time::timeout(left, sending).await {
+            Ok(outcome) => {
+                let told = told::told(outcome);
+                (whole(told.outcome), told.token)
+            }
+            Err(_) => (Outcome::Unknown(UnknownKind::Deadline), None),
+        }
+    }
+
+    fn new_request_id(&self) -> RequestId {
+        let mut rng = lock(&self.rng);
+        RequestId(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
+    }
+
+    fn take_token(&self, entry: SocketAddr, idempotent: bool) -> Option<String> {
+        if idempotent {
+            return None;
+        }
+        lock(&self.tokens).get_mut(&entry)?.pop()
+    }
+
+    fn keep_token(&self, entry: SocketAddr, token: Option<String>) {
+        let Some(token) = token else {
+            return;
+        };
+        let mut tokens = lock(&self.tokens);
+        let held = tokens.entry(entry).or_default();
+        if held.len() < TOKENS_PER_ENTRY {
+            held.push(token);
+        }
+    }
+}
+
+fn may_resend(outcome: &Outcome<CallAnswer>, idempotent: bool) -> bool {
+    match outcome {
+        Outcome::Completed(_) => false,
+        Outcome::NotRun(kind) => ErrorKind::NotRun(*kind).try_other(),
+        Outcome::Unknown(kind) => idempotent && ErrorKind::Unknown(*kind).try_other(),
+    }
+}
+
+fn whole(outcome: Outcome<Answer>) -> Outcome<CallAnswer> {
+    match outcome {
+        Outcome::Completed(answer) => match answer.body {
+            AnswerBody::Held(body) => Outcome::Completed(CallAnswer {
+                status: answer.status,
+                headers: answer.headers,
+                body,
+            }),
+            AnswerBody::Streamed(_) => Outcome::Unknown(UnknownKind::AnswerTruncated),
+        },
+        Outcome::NotRun(kind) => Outcome::NotRun(kind),
+        Outcome::Unknown(kind) => Outcome::Unknown(kind),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|p| p.into_inner())
+}
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -33,7 +33,7 @@
         /// The part that was read already.
         first: Bytes,
         /// The rest.
-        rest: DataStream<'r>,
+        rest: Box<DataStream<'r>>,
         /// Length that the sender stated, in bytes.
         length: Option<u64>,
     },
@@ -50,7 +50,7 @@
         if length.is_some_and(|n| n > max) {
             return Err(NotRunKind::BodyTooLarge);
         }
-        let mut rest = data.open(ByteUnit::Byte(max.saturating_add(1)));
+        let mut rest = Box::new(data.open(ByteUnit::Byte(max.saturating_add(1))));
         let mut first = BytesMut::with_capacity(length.unwrap_or(0).min(hold as u64) as usize);
         while first.len() <= hold {
             let read = rest
@@ -74,7 +74,7 @@
 /// An error goes into the channel, so that a truncated body never looks complete.
 pub async fn pump(
     first: Bytes,
-    mut rest: DataStream<'_>,
+    mut rest: Box<DataStream<'_>>,
     max: u64,
     tx: mpsc::Sender<io::Result<Bytes>>,
 ) {
@@ -137,26 +137,23 @@
 }
 
 /// Passes on a stream and tells `done`, once, how it ended.
-pub struct Watched<F>
+pub fn watched<F>(stream: AnswerStream, done: F) -> AnswerStream
 where
-    F: FnOnce(StreamEnd),
+    F: FnOnce(StreamEnd) + Send + Unpin + 'static,
 {
-    stream: AnswerStream,
-    done: Option<F>,
+    Watched {
+        stream,
+        done: Some(done),
+    }
+    .boxed()
 }
 
-impl<F> Watched<F>
+struct Watched<F>
 where
-    F: FnOnce(StreamEnd) + Send + Unpin + 'static,
+    F: FnOnce(StreamEnd),
 {
-    /// Watches `stream`.
-    pub fn new(stream: AnswerStream, done: F) -> AnswerStream {
-        Watched {
-            stream,
-            done: Some(done),
-        }
-        .boxed()
-    }
+    stream: AnswerStream,
+    done: Option<F>,
 }
 
 impl<F> Stream for Watched<F>
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -1,1 +1,271 @@
 //! HTTP egress of a node: sub-calls of its own target.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::HeaderMap;
+use rocket::Data;
+use rocket::Request;
+use rocket::Response;
+use rocket::route::Handler;
+
+use crate::call::CallContext;
+use crate::call::Priority;
+use crate::coordination::dispatch::Attempt;
+use crate::coordination::dispatch::Call;
+use crate::coordination::dispatch::Plan;
+use crate::coordination::dispatch::Report;
+use crate::coordination::dispatch::Step;
+use crate::coordination::gate::Child;
+use crate::coordination::gate::Refusal;
+use crate::coordination::treatment::Treatment;
+use crate::error::ErrorKind;
+use crate::error::NotRunKind;
+use crate::error::Outcome;
+use crate::error::UnknownKind;
+use crate::instance::InstanceName;
+use crate::instance::ServiceName;
+use crate::node::Node;
+use crate::protocol::header;
+use crate::transport::body::AnswerBody;
+use crate::transport::body::RequestBody;
+use crate::transport::forward;
+use crate::transport::forward::Answer;
+use crate::transport::head::Head;
+use crate::transport::ingress;
+use crate::transport::reply;
+use crate::transport::reply::Connection;
+use crate::transport::told;
+
+/// Serves the sub-calls of the instance's own target.
+///
+/// The first segment of the path names the service, the rest is the path at that service.
+#[derive(Clone)]
+pub struct Egress(pub Arc<Node>);
+
+#[rocket::async_trait]
+impl Handler for Egress {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> rocket::route::Outcome<'r> {
+        let response = match serve(&self.0, req, data).await {
+            Ok(response) => response,
+            Err(refusal) => reply::refused(&refusal, &self.0.notes(None)),
+        };
+        rocket::route::Outcome::Success(response)
+    }
+}
+
+/// A call that this node sends.
+pub struct Outgoing<'a> {
+    /// Service that is called.
+    pub service: &'a ServiceName,
+    /// HTTP method.
+    pub method: &'a http::Method,
+    /// Path and query.
+    pub target: &'a str,
+    /// Headers that go on.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: &'a Bytes,
+    /// Context, with the spare attempts that the call may use.
+    pub context: &'a CallContext,
+    /// Whether the call may leave its region.
+    pub cross_region: bool,
+    /// Instance that must not be used.
+    pub not_to: Option<&'a InstanceName>,
+}
+
+async fn serve<'r>(
+    node: &Arc<Node>,
+    req: &'r Request<'_>,
+    data: Data<'r>,
+) -> Result<Response<'r>, Refusal> {
+    let refusal = |kind: NotRunKind| Refusal {
+        kind: kind.into(),
+        token: None,
+    };
+    let head = Head::read(req, node.settings.limits.max_header_bytes as usize).map_err(refusal)?;
+    let (service, target) =
+        split_service(&head.target).ok_or(refusal(NotRunKind::NoSuchService))?;
+    let policy = node.policy();
+    let path = target.split('?').next().unwrap_or_default();
+    let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
+    let treatment = Treatment::new(rule, head.method.as_str());
+    let child = child_of(node, &head, &treatment).map_err(refusal)?;
+    let RequestBody::Held(body) = ingress::read_body(node, &head, data).await? else {
+        node.gate.give_back(&child, child.context.spare);
+        return Err(refusal(NotRunKind::BodyTooLarge));
+    };
+    let out = Outgoing {
+        service: &service,
+        method: &head.method,
+        target,
+        headers: head.forwarded(),
+        body: &body,
+        context: &child.context,
+        cross_region: treatment.cross_region,
+        not_to: None,
+    };
+    let (outcome, used) = send_call(node, &out).await;
+    node.gate
+        .give_back(&child, child.context.spare.saturating_sub(used));
+    let connection = Connection {
+        local_port: node.egress_port(),
+        remote: req.remote(),
+    };
+    match outcome {
+        Outcome::Completed(answer) => Ok(reply::completed(
+            answer,
+            &node.notes(Some(used)),
+            None,
+            connection,
+        )),
+        Outcome::NotRun(kind) => Err(refusal(kind)),
+        Outcome::Unknown(kind) => Err(Refusal {
+            kind: kind.into(),
+            token: None,
+        }),
+    }
+}
+
+fn split_service(target: &str) -> Option<(ServiceName, &str)> {
+    let rest = target.strip_prefix('/')?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    let path = if path.is_empty() { "/" } else { path };
+    (!service.is_empty()).then(|| (ServiceName::new(service), path))
+}
+
+/// Leases spare attempts from the call that the context header names.
+///
+/// Without that header the sub-call has the lowest priority and no spare attempts.
+fn child_of(node: &Node, head: &Head, treatment: &Treatment) -> Result<Child, NotRunKind> {
+    let Some(text) = head.text(header::CONTEXT) else {
+        let mut context = treatment.root(node.new_request_id(), None, true);
+        context.priority = Priority::Background;
+        return Ok(Child {
+            parent: None,
+            context,
+        });
+    };
+    let id = u128::from_str_radix(text, 16).map_err(|_| NotRunKind::ContextUnknown)?;
+    node.gate.lease(
+        id,
+        treatment.idempotent,
+        treatment.timeout,
+        node.clock.now(),
+    )
+}
+
+/// Sends a call, with as many attempts as its context allows.
+///
+/// Returns the outcome and the spare attempts used.
+pub async fn send_call(node: &Arc<Node>, out: &Outgoing<'_>) -> (Outcome<Answer>, u32) {
+    let call = Call {
+        service: out.service,
+        context: out.context,
+        cross_region: out.cross_region,
+        not_to: out.not_to,
+    };
+    let mut plan = node.dispatcher.begin(&call, node.clock.now());
+    let mut open = FuturesUnordered::new();
+    let mut so_far: Option<Outcome<Answer>> = None;
+    loop {
+        match node.next_step(&mut plan) {
+            Step::Send(attempt) => open.push(send_attempt(node, out, *attempt)),
+            Step::Wait(until) => {
+                let wait = until.map(|until| until.since(node.clock.now()));
+                let Some(ended) = next_within(&mut open, wait).await else {
+                    continue;
+                };
+                note(node, &mut plan, &ended);
+                let outcome = match so_far.take() {
+                    None => ended.outcome,
+                    Some(earlier) => earlier.after(ended.outcome),
+                };
+                if matches!(outcome, Outcome::Completed(_)) {
+                    return (outcome, plan.used());
+                }
+                so_far = Some(outcome);
+            }
+            Step::Fail(kind) => {
+                let failed = Outcome::from_kind(kind);
+                let outcome = match so_far {
+                    None => failed,
+                    Some(earlier) => earlier.after(failed),
+                };
+                return (outcome, plan.used());
+            }
+        }
+    }
+}
+
+struct Ended {
+    attempt: Attempt,
+    outcome: Outcome<Answer>,
+    sent: crate::clock::Time,
+    spent: Option<u32>,
+    level: Option<String>,
+}
+
+async fn next_within<F>(
+    open: &mut FuturesUnordered<F>,
+    wait: Option<std::time::Duration>,
+) -> Option<Ended>
+where
+    F: Future<Output = Ended>,
+{
+    match wait {
+        None => open.next().await,
+        Some(wait) => tokio::time::timeout(wait, open.next()).await.ok().flatten(),
+    }
+}
+
+fn note(node: &Node, plan: &mut Plan, ended: &Ended) {
+    let (result, bytes) = match &ended.outcome {
+        Outcome::Completed(answer) => (Ok(answer.status.as_u16()), held_bytes(&answer.body)),
+        Outcome::NotRun(kind) => (Err(ErrorKind::NotRun(*kind)), 0),
+        Outcome::Unknown(kind) => (Err(ErrorKind::Unknown(*kind)), 0),
+    };
+    let now = node.clock.now();
+    let report = Report {
+        result,
+        spent: ended.spent,
+        level: ended.level.as_deref(),
+        took: now.since(ended.sent),
+        bytes,
+    };
+    node.dispatcher.ended(plan, &ended.attempt, &report, now);
+}
+
+fn held_bytes(body: &AnswerBody) -> u64 {
+    match body {
+        AnswerBody::Held(bytes) => bytes.len() as u64,
+        AnswerBody::Streamed(_) => 0,
+    }
+}
+
+async fn send_attempt(node: &Arc<Node>, out: &Outgoing<'_>, attempt: Attempt) -> Ended {
+    let sent = node.clock.now();
+    let url = format!("http://{}{}", attempt.to.ingress, out.target);
+    let req = node
+        .client
+        .request(out.method.clone(), url)
+        .headers(out.headers.clone())
+        .header(header::HOP, node.sign_hop(&attempt));
+    let req = ingress::held_body(req, out.body);
+    let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
+    let outcome = match tokio::time::timeout(attempt.context.remaining, sending).await {
+        Ok(outcome) => outcome,
+        Err(_) => Outcome::Unknown(UnknownKind::Deadline),
+    };
+    let told = told::told(outcome);
+    Ended {
+        attempt,
+        outcome: told.outcome,
+        sent,
+        spent: told.spent,
+        level: told.level,
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,4 +9,6 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod reply;
 pub mod server;
+pub mod told;
