Admission levels at instances and senders; tests of admission and levels

Cause: what cannot be served deep in a chain has to be dropped at its root, whole. A property test found an exclusive call started beside others as a probe; mended.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -318,11 +318,12 @@
     /// Lets an idempotent call run against the estimate once in a while, so that the estimate
     /// can be corrected.
     fn is_probe(&mut self, waiting: &Waiting, now: Time) -> bool {
-        let expired = waiting.job.deadline <= now;
-        if expired || !waiting.job.idempotent || now < self.next_probe {
+        let job = &waiting.job;
+        let expired = job.deadline <= now;
+        if expired || job.exclusive || !job.idempotent || now < self.next_probe {
             return false;
         }
-        self.next_probe = now.plus(self.service_time(waiting.job.priority));
+        self.next_probe = now.plus(self.service_time(job.priority));
         true
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod gossip;
 pub mod join;
 pub mod level;
+pub mod level_view;
 pub mod limit;
 pub mod link;
 pub mod members;
