--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod group;
 pub mod join;
 pub mod level;
+pub mod level_view;
 pub mod limit;
 pub mod link;
 pub mod members;
