--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,12 +2,15 @@
 //! time as `now` and draws random numbers from a source that it is given.
 
 pub mod admission;
+pub mod admission_config;
 pub mod budget;
 pub mod config;
 pub mod dispatch;
+pub mod draw;
 pub mod ejection;
 pub mod gate;
 pub mod gossip;
+pub mod group;
 pub mod join;
 pub mod level;
 pub mod limit;
@@ -15,6 +18,11 @@
 pub mod members;
 pub mod pause;
 pub mod poison;
+pub mod queue;
 pub mod reader;
 pub mod routing;
+pub mod slots;
+pub mod score;
+pub mod subset;
+pub mod target;
 pub mod token;
