Explore the races for one token and one lease with shuttle

2,000 interleavings each, from a fixed seed: three copies of one charge, a refused charge and its copies, four sub-calls on three spare attempts, a sub-call against the end of its parent.

--- /dev/null
+++ b/tests/races.rs
@@ -0,0 +1,174 @@
+//! Interleavings of workers that race for one token or one lease, explored by shuttle.
+
+use shuttle::sync::Arc;
+use shuttle::sync::Mutex;
+use shuttle::thread;
+
+use dragonflylead::CallContext;
+use dragonflylead::Fingerprint;
+use dragonflylead::NotRunKind;
+use dragonflylead::Priority;
+use dragonflylead::RequestId;
+use dragonflylead::Time;
+use dragonflylead::coordination::token::Spend;
+use dragonflylead::coordination::token::Token;
+use dragonflylead::coordination::token::Tokens;
+use dragonflylead::instance::Incarnation;
+use dragonflylead::instance::InstanceName;
+use dragonflylead::state::calls::Calls;
+use dragonflylead::state::calls::ContextId;
+use dragonflylead::state::calls::SubCall;
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
+
+const NOW: Time = Time::from_millis(1);
+const DEADLINE: Time = Time::from_millis(900);
+const CHARGE: Fingerprint = Fingerprint([1; 16]);
+const ITERATIONS: usize = 2_000;
+const SEED: u64 = 5;
+
+type Shared<T> = Arc<Mutex<T>>;
+
+/// Runs `check` under many interleavings, the same ones each time.
+fn explore<F>(check: F)
+where
+    F: Fn() + Send + Sync + 'static,
+{
+    let scheduler = shuttle::scheduler::RandomScheduler::new_from_seed(SEED, ITERATIONS);
+    shuttle::Runner::new(scheduler, shuttle::Config::new()).run(check);
+}
+
+fn tokens() -> (Shared<Tokens<u32>>, Token) {
+    let mut tokens = Tokens::new(&InstanceName::new("payments-1"), Incarnation(1));
+    let token = tokens
+        .mint(NOW, &mut ChaCha12Rng::seed_from_u64(1))
+        .unwrap();
+    (Arc::new(Mutex::new(tokens)), token)
+}
+
+/// Starts three workers, each with a copy of the same charge.
+fn race_copies<F>(run: F) -> Vec<bool>
+where
+    F: Fn(&Mutex<Tokens<u32>>, &Token, u32) -> bool + Send + Sync + Clone + 'static,
+{
+    let (tokens, token) = tokens();
+    let workers: Vec<_> = (0..3)
+        .map(|copy| {
+            let tokens = tokens.clone();
+            let run = run.clone();
+            thread::spawn(move || run(&tokens, &token, copy))
+        })
+        .collect();
+    workers
+        .into_iter()
+        .map(|worker| worker.join().unwrap())
+        .collect()
+}
+
+#[test]
+fn one_token_starts_one_run() {
+    explore(|| {
+        let ran = race_copies(|tokens, token, copy| {
+            let spend = tokens.lock().unwrap().spend(NOW, token, CHARGE);
+            let Spend::Run = spend else {
+                assert!(matches!(spend, Spend::InProgress | Spend::Replay(_)));
+                return false;
+            };
+            tokens.lock().unwrap().complete(NOW, token, copy, 4);
+            true
+        });
+        assert_eq!(ran.iter().filter(|ran| **ran).count(), 1);
+    });
+}
+
+#[test]
+fn a_refused_charge_has_no_copy_that_runs() {
+    explore(|| {
+        let ran = race_copies(|tokens, token, _| {
+            let spend = tokens.lock().unwrap().spend(NOW, token, CHARGE);
+            match spend {
+                // Admission refuses the first copy after its token was spent.
+                Spend::Run => tokens.lock().unwrap().burn(NOW, token),
+                Spend::InProgress => {}
+                ref other => assert_eq!(*other, Spend::Refused(NotRunKind::TokenBurned.into())),
+            }
+            spend == Spend::Run
+        });
+        assert_eq!(ran.iter().filter(|ran| **ran).count(), 1);
+    });
+}
+
+fn running_call(spare: u32) -> (Shared<Calls>, ContextId) {
+    let context = CallContext {
+        request: RequestId(1),
+        priority: Priority::Normal,
+        idempotent: true,
+        remaining: DEADLINE.since(NOW),
+        spare,
+        depth: 0,
+        moved: false,
+    };
+    let mut calls = Calls::new();
+    let mut rng = ChaCha12Rng::seed_from_u64(1);
+    let id = calls.begin(context, DEADLINE, &mut rng).unwrap();
+    (Arc::new(Mutex::new(calls)), id)
+}
+
+/// Makes a sub-call that uses one of its attempts and returns the rest, or loses its answer.
+fn sub_call(calls: &Mutex<Calls>, id: ContextId, lost: bool) -> u32 {
+    let rule = SubCall {
+        idempotent: true,
+        timeout: DEADLINE.since(NOW),
+        want: 2,
+    };
+    let Ok(lease) = calls.lock().unwrap().lease(NOW, id, &rule) else {
+        return 0;
+    };
+    let granted = lease.context.spare;
+    let used = granted.min(1);
+    let mut calls = calls.lock().unwrap();
+    match lost {
+        true => calls.lose(lease.id),
+        false => calls.give_back(lease.id, granted - used),
+    }
+    used
+}
+
+#[test]
+fn racing_sub_calls_stay_within_the_budget() {
+    const SPARE: u32 = 3;
+    explore(|| {
+        let (calls, id) = running_call(SPARE);
+        let workers: Vec<_> = [false, true, false, true]
+            .into_iter()
+            .map(|lost| {
+                let calls = calls.clone();
+                thread::spawn(move || sub_call(&calls, id, lost))
+            })
+            .collect();
+        let used: u32 = workers
+            .into_iter()
+            .map(|worker| worker.join().unwrap())
+            .sum();
+        let spent = calls.lock().unwrap().end(NOW, id).unwrap().spent;
+        assert!(
+            used <= spent && spent <= SPARE,
+            "used {used}, spent {spent}"
+        );
+    });
+}
+
+#[test]
+fn a_call_that_ends_takes_its_late_sub_calls_along() {
+    explore(|| {
+        let (calls, id) = running_call(2);
+        let racing = calls.clone();
+        let worker = thread::spawn(move || sub_call(&racing, id, false));
+        let ended = calls.lock().unwrap().end(NOW, id).unwrap();
+        let used = worker.join().unwrap();
+        let calls = calls.lock().unwrap();
+        assert!(used <= ended.spent, "used {used}, told {}", ended.spent);
+        assert_eq!(calls.context(NOW, id), Err(NotRunKind::ParentEnded));
+        assert_eq!(calls.children_of(RequestId(1)), []);
+    });
+}
