--- a/src/coordination/draw.rs
+++ b/src/coordination/draw.rs
@@ -8,11 +8,14 @@
 use crate::clock::Time;
 use crate::coordination::ejection::Access;
 use crate::coordination::group::Group;
+use crate::coordination::links::Links;
+use crate::coordination::links::Toll;
 use crate::coordination::routing::Place;
 use crate::coordination::routing::RoutingConfig;
 use crate::coordination::routing::Strategy;
 use crate::coordination::routing::Want;
 use crate::coordination::target::TargetState;
+use crate::error::NotRunKind;
 
 /// Which instances may be used, each step only if the one before leaves none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
@@ -28,8 +31,8 @@
     pub cfg: &'a RoutingConfig,
     /// What the attempt needs.
     pub want: &'a Want<'a>,
-    /// Whether the attempt may leave its region.
-    pub abroad: bool,
+    /// Byte budgets of the links to other regions.
+    pub links: &'a Links,
     /// The time of the choice.
     pub now: Time,
 }
@@ -43,6 +46,26 @@
         Step::iter().find_map(|step| self.nearest(group, step, rng))
     }
 
+    /// Returns what a call to `target` costs of the byte budget of the link to its region; none
+    /// if it costs nothing or may not be made.
+    pub fn toll(&self, target: &TargetState) -> Option<Toll> {
+        if target.place != Place::Abroad || !self.want.cross_region {
+            return None;
+        }
+        let critical = self.want.is_critical();
+        self.links
+            .quote(&target.instance.region, critical, self.now)
+    }
+
+    /// Returns why no target may be used.
+    pub fn reason(&self, group: &Group) -> NotRunKind {
+        let out_of_budget = |t: &TargetState| t.place == Place::Abroad && self.toll(t).is_none();
+        match self.want.cross_region && group.targets.iter().any(out_of_budget) {
+            true => NotRunKind::LinkBudget,
+            false => NotRunKind::NoInstance,
+        }
+    }
+
     /// Draws from the nearest place that is not busy, or if all are, from the nearest.
     fn nearest<R>(&self, group: &mut Group, step: Step, rng: &mut R) -> Option<usize>
     where
@@ -66,7 +89,7 @@
     }
 
     fn is_open(&self, target: &TargetState, step: Step) -> bool {
-        if target.place == Place::Abroad && !self.abroad {
+        if target.place == Place::Abroad && self.toll(target).is_none() {
             return false;
         }
         if target.is_draining(self.now) && !self.cfg.ignore_draining {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub mod level;
 pub mod limit;
 pub mod link;
+pub mod links;
 pub mod members;
 pub mod pause;
 pub mod poison;
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -17,9 +17,9 @@
 use crate::coordination::draw::Draw;
 use crate::coordination::ejection::EjectionConfig;
 use crate::coordination::group::Group;
-use crate::coordination::link::Charge;
-use crate::coordination::link::LinkBudget;
 use crate::coordination::link::LinkConfig;
+use crate::coordination::links::Links;
+use crate::coordination::links::Toll;
 use crate::coordination::score::ScoreConfig;
 use crate::coordination::subset;
 use crate::coordination::subset::SubsetConfig;
@@ -59,7 +59,7 @@
     pub score: ScoreConfig,
     /// Outlier ejection and slow start.
     pub ejection: EjectionConfig,
-    /// Byte budget of the link between regions.
+    /// Byte budget of a link between regions that has none of its own.
     pub link: LinkConfig,
     /// Whether distance is disregarded.
     pub ignore_place: bool,
@@ -125,8 +125,8 @@
     pub ingress: SocketAddr,
     /// Its distance.
     pub place: Place,
-    /// What the attempt costs of the link's byte budget.
-    pub charge: Option<Charge>,
+    /// What the attempt costs of a link's byte budget.
+    pub toll: Option<Toll>,
 }
 
 /// The choice for an attempt.
@@ -161,19 +161,19 @@
     cfg: RoutingConfig,
     home: Home,
     groups: BTreeMap<ServiceName, Group>,
-    link: LinkBudget,
+    links: Links,
     ejections: u64,
 }
 
 impl Router {
     /// Builds a router that knows no instance.
     pub fn new(home: Home, cfg: RoutingConfig, now: Time) -> Router {
-        let link = LinkBudget::new(&cfg.link, now);
+        let links = Links::new(cfg.link, now);
         Router {
             cfg,
             home,
             groups: BTreeMap::new(),
-            link,
+            links,
             ejections: 0,
         }
     }
@@ -188,6 +188,9 @@
         for (service, list) in lists.into_iter().take(MAX_SERVICES) {
             let old = known.remove(service).unwrap_or_default();
             let group = self.merge(old, &list, now);
+            for target in group.targets.iter().filter(|t| t.place == Place::Abroad) {
+                self.links.add(&target.instance.region, now);
+            }
             self.groups.insert(service.clone(), group);
         }
     }
@@ -200,24 +203,14 @@
         let Some(group) = self.groups.get_mut(want.service) else {
             return Choice::None(NotRunKind::NoInstance);
         };
-        let quote = match want.cross_region {
-            true => self.link.quote(want.is_critical(), now),
-            false => None,
-        };
         let draw = Draw {
             cfg: &self.cfg,
             want,
-            abroad: quote.is_some(),
+            links: &self.links,
             now,
         };
         let Some(i) = draw.any(group, rng) else {
-            let kept_home = want.cross_region && quote.is_none();
-            let abroad = group.targets.iter().any(|t| t.place == Place::Abroad);
-            let kind = match kept_home && abroad {
-                true => NotRunKind::LinkBudget,
-                false => NotRunKind::NoInstance,
-            };
-            return Choice::None(kind);
+            return Choice::None(draw.reason(group));
         };
         let target = &group.targets[i];
         Choice::Send(Pick {
@@ -225,14 +218,14 @@
             instance: target.instance.name.clone(),
             ingress: target.instance.ingress,
             place: target.place,
-            charge: quote.filter(|_| target.place == Place::Abroad),
+            toll: draw.toll(target),
         })
     }
 
     /// Notes that an attempt is sent.
     pub fn sent(&mut self, pick: &Pick, now: Time) {
-        if let Some(charge) = &pick.charge {
-            self.link.charge(charge, now);
+        if let Some(toll) = &pick.toll {
+            self.links.charge(toll, now);
         }
         if let Some(target) = self.target(&pick.service, &pick.instance) {
             target.score.sent();
@@ -242,8 +235,8 @@
 
     /// Notes how an attempt ended. Each attempt that was sent is ended once.
     pub fn answered(&mut self, pick: &Pick, seen: &Observation, now: Time) {
-        if let Some(charge) = &pick.charge {
-            self.link.settle(charge, seen.bytes, now);
+        if let Some(toll) = &pick.toll {
+            self.links.settle(toll, seen.bytes, now);
         }
         let Some(group) = self.groups.get_mut(&pick.service) else {
             return;
@@ -290,9 +283,14 @@
         }
     }
 
-    /// Returns the byte budget of the link between regions.
-    pub fn link(&self) -> &LinkBudget {
-        &self.link
+    /// Returns the byte budgets of the links to other regions.
+    pub fn links(&self) -> &Links {
+        &self.links
+    }
+
+    /// Sets the byte budget of the link to `region`; an unchanged one keeps its level.
+    pub fn set_link(&mut self, region: &RegionName, cfg: LinkConfig, now: Time) {
+        self.links.set(region, cfg, now);
     }
 
     /// Returns how often an instance was ejected since the start.
