--- a/src/metrics.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Metrics of a node.
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,319 @@
+//! Prometheus metrics of one node.
+//!
+//! Each node has a registry of its own. Counters are added to as events happen; gauges are set from
+//! the node's status when they are read.
+
+mod describe;
+mod labels;
+
+use std::time::Duration;
+
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use strum::Display;
+use strum::IntoEnumIterator;
+
+use crate::call::COHORTS;
+use crate::call::Priority;
+use crate::error::ErrorKind;
+use crate::instance::RegionName;
+use crate::instance::ServiceName;
+use crate::status::LevelStatus;
+use crate::status::ServiceStatus;
+use crate::status::Status;
+
+pub use describe::Description;
+pub use describe::Metric;
+pub use describe::MetricKind;
+pub use describe::page;
+pub use labels::MAX_SERVICE_LABELS;
+pub use labels::OTHER;
+
+use labels::ServiceLabels;
+
+/// Upper bounds of the buckets of call times, in seconds.
+const DURATION_BUCKETS_S: [f64; 13] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Where a call is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum Side {
+    /// It entered the fleet at this node, counted once with all its attempts.
+    Entry,
+    /// It arrived for the own target, counted for each attempt.
+    Ingress,
+    /// The own target made it, counted once with all its attempts.
+    Egress,
+}
+
+/// Why an attempt was made beyond the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RetryReason {
+    /// The one before was not run.
+    NotRun,
+    /// It is not known whether the one before was run.
+    Unknown,
+    /// The one before has not answered yet.
+    Slow,
+}
+
+/// Why an attempt was not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DeniedReason {
+    /// The request has no spare attempt left.
+    Budget,
+    /// The service has no retry allowance left.
+    Allowance,
+}
+
+/// Direction of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum Direction {
+    /// Sent by this node.
+    Sent,
+    /// Received by this node.
+    Received,
+}
+
+/// A call that ended.
+#[derive(Clone, Copy, Debug)]
+pub struct CallEnd<'a> {
+    /// Where it is counted.
+    pub side: Side,
+    /// Service that was called.
+    pub service: &'a ServiceName,
+    /// Priority.
+    pub priority: Priority,
+    /// Error, `None` if it completed.
+    pub error: Option<ErrorKind>,
+    /// Time it took.
+    pub took: Duration,
+}
+
+/// The metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    services: ServiceLabels,
+    calls: IntCounterVec,
+    errors: IntCounterVec,
+    duration: HistogramVec,
+    retries: IntCounterVec,
+    denied: IntCounterVec,
+    control: IntCounterVec,
+    link_bytes: IntCounterVec,
+    ejections: IntCounterVec,
+    gauges: Vec<(Metric, IntGaugeVec)>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Builds the metrics, all zero.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        Metrics {
+            services: ServiceLabels::default(),
+            calls: counter(&registry, Metric::Calls),
+            errors: counter(&registry, Metric::Errors),
+            duration: histogram(&registry, Metric::Duration),
+            retries: counter(&registry, Metric::Retries),
+            denied: counter(&registry, Metric::RetriesDenied),
+            control: counter(&registry, Metric::ControlBytes),
+            link_bytes: counter(&registry, Metric::LinkBytes),
+            ejections: counter(&registry, Metric::Ejections),
+            gauges: gauges(&registry),
+            registry,
+        }
+    }
+
+    /// Counts a call that ended.
+    pub fn ended(&self, end: &CallEnd<'_>) {
+        let side = end.side.to_string();
+        let service = self.services.label(end.service);
+        let priority = end.priority.to_string();
+        let outcome = outcome(end.error);
+        self.calls
+            .with_label_values(&[side.as_str(), &service, &priority, outcome])
+            .inc();
+        let Some(error) = end.error else {
+            self.duration
+                .with_label_values(&[side.as_str(), &service, &priority])
+                .observe(end.took.as_secs_f64());
+            return;
+        };
+        self.errors
+            .with_label_values(&[side.as_str(), outcome, &kind(error)])
+            .inc();
+    }
+
+    /// Counts an attempt beyond the first.
+    pub fn retried(&self, service: &ServiceName, reason: RetryReason) {
+        let service = self.services.label(service);
+        self.retries
+            .with_label_values(&[service.as_ref(), &reason.to_string()])
+            .inc();
+    }
+
+    /// Counts an attempt that was not made.
+    pub fn denied(&self, service: &ServiceName, reason: DeniedReason) {
+        let service = self.services.label(service);
+        self.denied
+            .with_label_values(&[service.as_ref(), &reason.to_string()])
+            .inc();
+    }
+
+    /// Counts the bytes of a control message.
+    pub fn control(&self, direction: Direction, bytes: u64) {
+        self.control
+            .with_label_values(&[direction.to_string()])
+            .inc_by(bytes);
+    }
+
+    /// Counts the bytes of a call to another region.
+    pub fn link(&self, region: &RegionName, bytes: u64) {
+        self.link_bytes
+            .with_label_values(&[region.as_str()])
+            .inc_by(bytes);
+    }
+
+    /// Counts an ejection.
+    pub fn ejected(&self) {
+        self.ejections.with_label_values::<&str>(&[]).inc();
+    }
+
+    /// Returns the Prometheus text, with gauges as in `status`.
+    pub fn text(&self, status: &Status) -> String {
+        self.show(status);
+        let mut text = String::new();
+        match TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
+            Ok(()) => text,
+            Err(e) => {
+                log::error!("metrics: {e}");
+                String::new()
+            }
+        }
+    }
+
+    fn show(&self, status: &Status) {
+        let admission = &status.admission;
+        let config = &status.config;
+        self.set(Metric::InFlight, &[], admission.in_flight.into());
+        self.set(Metric::Limit, &[], admission.limit.into());
+        self.set(Metric::Queued, &[], admission.queued.into());
+        self.set(Metric::Level, &[], rank(&admission.level));
+        self.set(Metric::Tokens, &[], status.tokens as i64);
+        self.set(Metric::Suspected, &[], status.poison.suspected as i64);
+        self.set(Metric::Quarantined, &[], status.poison.quarantined as i64);
+        self.set(Metric::Revision, &[], config.revision as i64);
+        self.set(Metric::ConfigAge, &[], config.age_s as i64);
+        self.set(Metric::Rejected, &[], config.rejected.unwrap_or(0) as i64);
+        self.set(Metric::Draining, &[], status.draining.into());
+        self.set(Metric::Ready, &[], status.ready.into());
+        self.set(Metric::Pauses, &[], status.pauses as i64);
+        self.set(Metric::Uptime, &[], status.uptime_s as i64);
+        self.show_services(&status.services);
+        for link in &status.links {
+            let region = link.region.as_str();
+            let reserved = link.reserved_left_bytes;
+            self.set(Metric::LinkBudget, &[region, "common"], link.left_bytes);
+            self.set(Metric::LinkBudget, &[region, "reserved"], reserved);
+        }
+    }
+
+    fn show_services(&self, services: &[ServiceStatus]) {
+        for metric in [Metric::ServiceLevel, Metric::Targets] {
+            self.gauge(metric).inspect(|gauge| gauge.reset());
+        }
+        for status in services {
+            let service = self.services.label(&status.service);
+            self.set(Metric::ServiceLevel, &[&service], rank(&status.level));
+            let states = [
+                ("all", status.targets),
+                ("ejected", status.ejected),
+                ("draining", status.draining),
+            ];
+            for (state, targets) in states {
+                self.set(Metric::Targets, &[&service, state], targets.into());
+            }
+        }
+    }
+
+    fn set(&self, metric: Metric, labels: &[&str], value: i64) {
+        if let Some(gauge) = self.gauge(metric) {
+            gauge.with_label_values(labels).set(value);
+        }
+    }
+
+    fn gauge(&self, metric: Metric) -> Option<&IntGaugeVec> {
+        let found = self.gauges.iter().find(|(m, _)| *m == metric);
+        found.map(|(_, gauge)| gauge)
+    }
+}
+
+fn counter(registry: &Registry, metric: Metric) -> IntCounterVec {
+    let d = metric.description();
+    let counter = IntCounterVec::new(Opts::new(d.name, d.help), d.labels).expect("a valid name");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("each name is registered once");
+    counter
+}
+
+fn histogram(registry: &Registry, metric: Metric) -> HistogramVec {
+    let d = metric.description();
+    let opts = HistogramOpts::new(d.name, d.help).buckets(DURATION_BUCKETS_S.to_vec());
+    let histogram = HistogramVec::new(opts, d.labels).expect("a valid name");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("each name is registered once");
+    histogram
+}
+
+fn gauges(registry: &Registry) -> Vec<(Metric, IntGaugeVec)> {
+    Metric::iter()
+        .filter(|metric| metric.description().kind == MetricKind::Gauge)
+        .map(|metric| {
+            let d = metric.description();
+            let opts = Opts::new(d.name, d.help);
+            let gauge = IntGaugeVec::new(opts, d.labels).expect("a valid name");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("each name is registered once");
+            (metric, gauge)
+        })
+        .collect()
+}
+
+fn outcome(error: Option<ErrorKind>) -> &'static str {
+    match error {
+        None => "completed",
+        Some(ErrorKind::NotRun(_)) => "not-run",
+        Some(ErrorKind::Unknown(_)) => "unknown",
+    }
+}
+
+fn kind(error: ErrorKind) -> String {
+    match error {
+        ErrorKind::NotRun(kind) => kind.to_string(),
+        ErrorKind::Unknown(kind) => kind.to_string(),
+    }
+}
+
+fn rank(level: &LevelStatus) -> i64 {
+    level.priority as i64 * i64::from(COHORTS) + i64::from(level.cohort.0)
+}
--- a/src/state/lock.rs
+++ b/src/state/lock.rs
@@ -22,8 +22,10 @@
     Admission = 5,
     /// Routing scores, retry allowances and link budgets.
     Routing = 6,
+    /// Counts of how calls ended.
+    History = 7,
     /// Timer subscriptions.
-    Timers = 7,
+    Timers = 8,
 }
 
 thread_local! {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod calls;
 pub mod fleet;
+pub mod history;
 mod lock;
 
 pub use lock::Rank;
--- a/src/status.rs
+++ b/src/status.rs
@@ -1,1 +1,142 @@
-//! The fleet at a glance.
+//! What a node tells an operator about itself.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::call::Cohort;
+use crate::call::Priority;
+use crate::instance::DomainName;
+use crate::instance::Incarnation;
+use crate::instance::InstanceName;
+use crate::instance::RegionName;
+use crate::instance::ServiceName;
+use crate::state::history::Series;
+
+/// Version of the status message.
+pub const STATUS_VERSION: u32 = 1;
+
+/// State of one node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Version of this message.
+    pub version: u32,
+    /// Release of the node's program.
+    pub release: String,
+    /// Own instance.
+    pub instance: InstanceName,
+    /// Service of that instance.
+    pub service: ServiceName,
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Own region.
+    pub region: RegionName,
+    /// Incarnation of the node.
+    pub incarnation: Incarnation,
+    /// Seconds since the node started.
+    pub uptime_s: u64,
+    /// Whether the node serves.
+    pub ready: bool,
+    /// Whether the node takes no new work.
+    pub draining: bool,
+    /// Configuration that is in force.
+    pub config: ConfigStatus,
+    /// Admission at the own target.
+    pub admission: AdmissionStatus,
+    /// Services that the target calls.
+    pub services: Vec<ServiceStatus>,
+    /// Links to other regions.
+    pub links: Vec<LinkStatus>,
+    /// Requests that are suspected and quarantined.
+    pub poison: PoisonStatus,
+    /// Idempotency tokens that are held.
+    pub tokens: u64,
+    /// Process pauses since the start.
+    pub pauses: u64,
+    /// Objectives of the services that were called through this node.
+    pub objectives: Vec<Objective>,
+    /// How calls through this node ended.
+    pub history: Vec<Series>,
+}
+
+/// Configuration of a node.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigStatus {
+    /// Revision in force, 0 for none.
+    pub revision: u64,
+    /// Latest revision that was rejected and is newer than the one in force.
+    pub rejected: Option<u64>,
+    /// Seconds since the platform or a peer confirmed the revision.
+    pub age_s: u64,
+}
+
+/// Admission at a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmissionStatus {
+    /// Calls that may run at once.
+    pub limit: u32,
+    /// Calls that run.
+    pub in_flight: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// What is let in.
+    pub level: LevelStatus,
+}
+
+/// Threshold of what is let in: calls of a higher priority, and up to `cohort` of this priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LevelStatus {
+    /// Lowest priority that is let in.
+    pub priority: Priority,
+    /// Highest cohort of that priority that is let in.
+    pub cohort: Cohort,
+}
+
+/// A service that the target calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// Instances that this node may send calls to.
+    pub targets: u32,
+    /// Those of them that are ejected.
+    pub ejected: u32,
+    /// Those of them that are leaving.
+    pub draining: u32,
+    /// Calls that are not answered yet.
+    pub in_flight: u32,
+    /// What the service lets in, as far as known.
+    pub level: LevelStatus,
+}
+
+/// A link to another region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkStatus {
+    /// Region at the other end.
+    pub region: RegionName,
+    /// Bytes that may be spent now, negative in debt.
+    pub left_bytes: i64,
+    /// Bytes that only critical calls may spend now, negative in debt.
+    pub reserved_left_bytes: i64,
+}
+
+/// Requests that crash targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoisonStatus {
+    /// Requests implicated in a crash at one target.
+    pub suspected: u64,
+    /// Requests that are quarantined.
+    pub quarantined: u64,
+}
+
+/// Service level objective of the calls of one service at one priority.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Objective {
+    /// The service.
+    pub service: ServiceName,
+    /// Priority of the calls.
+    pub priority: Priority,
+    /// Share of calls that must complete in time, from 0 to 1.
+    pub share: f64,
+    /// Longest time that a good call takes, in milliseconds.
+    pub latency_ms: u64,
+}
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,257 @@
+//! Metrics and status of one node, and the operator port that serves them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dragonflylead::ErrorKind;
+use dragonflylead::NotRunKind;
+use dragonflylead::Priority;
+use dragonflylead::Time;
+use dragonflylead::UnknownKind;
+use dragonflylead::call::Cohort;
+use dragonflylead::instance::Incarnation;
+use dragonflylead::instance::ServiceName;
+use dragonflylead::metrics;
+use dragonflylead::metrics::CallEnd;
+use dragonflylead::metrics::DeniedReason;
+use dragonflylead::metrics::Direction;
+use dragonflylead::metrics::Metrics;
+use dragonflylead::metrics::RetryReason;
+use dragonflylead::metrics::Side;
+use dragonflylead::state::history::Counts;
+use dragonflylead::state::history::History;
+use dragonflylead::state::history::MAX_SERIES;
+use dragonflylead::state::history::Window;
+use dragonflylead::status::AdmissionStatus;
+use dragonflylead::status::ConfigStatus;
+use dragonflylead::status::LevelStatus;
+use dragonflylead::status::LinkStatus;
+use dragonflylead::status::PoisonStatus;
+use dragonflylead::status::STATUS_VERSION;
+use dragonflylead::status::ServiceStatus;
+use dragonflylead::status::Status;
+use dragonflylead::transport::operator::OperatorPort;
+
+const DOCS_PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/METRICS.md");
+
+fn status() -> Status {
+    let level = LevelStatus {
+        priority: Priority::Normal,
+        cohort: Cohort(63),
+    };
+    Status {
+        version: STATUS_VERSION,
+        release: "0.1.0".to_owned(),
+        instance: "booking-1".into(),
+        service: "booking".into(),
+        domain: "punjab-a".into(),
+        region: "punjab".into(),
+        incarnation: Incarnation(7),
+        uptime_s: 61,
+        ready: true,
+        draining: false,
+        config: ConfigStatus {
+            revision: 12,
+            rejected: Some(13),
+            age_s: 2,
+        },
+        admission: AdmissionStatus {
+            limit: 80,
+            in_flight: 5,
+            queued: 1,
+            level,
+        },
+        services: vec![ServiceStatus {
+            service: "payments".into(),
+            targets: 4,
+            ejected: 1,
+            draining: 0,
+            in_flight: 3,
+            level,
+        }],
+        links: vec![LinkStatus {
+            region: "sindh".into(),
+            left_bytes: -10,
+            reserved_left_bytes: 900,
+        }],
+        poison: PoisonStatus {
+            suspected: 2,
+            quarantined: 1,
+        },
+        tokens: 9,
+        pauses: 1,
+        objectives: Vec::new(),
+        history: Vec::new(),
+    }
+}
+
+fn filled() -> Metrics {
+    let metrics = Metrics::new();
+    let service = ServiceName::new("payments");
+    let errors = [
+        None,
+        Some(ErrorKind::NotRun(NotRunKind::Shed)),
+        Some(ErrorKind::Unknown(UnknownKind::Deadline)),
+    ];
+    for error in errors {
+        metrics.ended(&CallEnd {
+            side: Side::Egress,
+            service: &service,
+            priority: Priority::Critical,
+            error,
+            took: Duration::from_millis(3),
+        });
+    }
+    metrics.retried(&service, RetryReason::Slow);
+    metrics.denied(&service, DeniedReason::Budget);
+    metrics.control(Direction::Sent, 100);
+    metrics.link(&"sindh".into(), 4_096);
+    metrics.ejected();
+    metrics
+}
+
+#[test]
+fn text() {
+    insta::assert_snapshot!(filled().text(&status()));
+}
+
+#[test]
+fn page_lists_all_metrics() {
+    let page = metrics::page();
+    if std::env::var("INSTA_UPDATE").is_ok_and(|v| v == "always") {
+        std::fs::write(DOCS_PAGE, &page).unwrap();
+    }
+    insta::assert_snapshot!(page);
+    let written = std::fs::read_to_string(DOCS_PAGE).unwrap();
+    assert!(
+        written == page,
+        "docs/METRICS.md is out of date; run INSTA_UPDATE=always cargo test --test metrics"
+    );
+}
+
+#[test]
+fn services_beyond_the_bound_share_a_label() {
+    let metrics = Metrics::new();
+    for i in 0..metrics::MAX_SERVICE_LABELS + 10 {
+        let service = ServiceName::new(&format!("service-{i}"));
+        metrics.retried(&service, RetryReason::NotRun);
+    }
+    let text = metrics.text(&status());
+    let lines = text.lines();
+    let series = lines.filter(|l| l.starts_with("dragonflylead_extra_attempts_total"));
+    assert_eq!(series.count(), metrics::MAX_SERVICE_LABELS + 1);
+    assert!(text.contains(r#"{reason="not-run",service="other"} 10"#));
+}
+
+#[tokio::test]
+async fn operator_port() {
+    let mut servers = Vec::new();
+    for limit in [80, 10] {
+        let mut status = status();
+        status.admission.limit = limit;
+        let port = OperatorPort::new(Arc::new(filled()), move || status.clone());
+        let address = "127.0.0.1:0".parse().unwrap();
+        servers.push((limit, port.serve(address).await.unwrap()));
+    }
+    for (limit, server) in servers {
+        let url = format!("http://{}", server.address());
+        let got = reqwest::get(format!("{url}/status")).await.unwrap();
+        let got: Status = got.json().await.unwrap();
+        assert_eq!(got.admission.limit, limit);
+        let text = reqwest::get(format!("{url}/metrics")).await.unwrap();
+        let text = text.text().await.unwrap();
+        assert!(text.contains(&format!("dragonflylead_concurrency_limit {limit}\n")));
+        let other = reqwest::get(format!("{url}/other")).await.unwrap();
+        assert_eq!(other.status(), 404);
+        server.stop().await;
+    }
+}
+
+#[test]
+fn history_windows() {
+    struct Case {
+        /// Minutes at which a call ends.
+        at: &'static [u64],
+        now: u64,
+        /// Calls in each window, shortest first.
+        want: [u64; 7],
+    }
+    let cases = [
+        Case {
+            at: &[],
+            now: 0,
+            want: [0; 7],
+        },
+        Case {
+            at: &[0, 0],
+            now: 0,
+            want: [2; 7],
+        },
+        Case {
+            at: &[0, 4],
+            now: 5,
+            want: [1, 2, 2, 2, 2, 2, 2],
+        },
+        Case {
+            at: &[0, 30, 60, 89],
+            now: 90,
+            want: [1, 1, 2, 4, 4, 4, 4],
+        },
+        Case {
+            at: &[0, 4_000],
+            now: 4_400,
+            want: [0, 0, 0, 0, 0, 1, 1],
+        },
+        Case {
+            at: &[0, 10_000],
+            now: 10_000,
+            want: [1; 7],
+        },
+    ];
+    let minutes = |n: u64| Time::from_millis(n * 60_000);
+    for case in cases {
+        let mut history = History::new();
+        let service = ServiceName::new("payments");
+        for at in case.at {
+            history.count(&service, Priority::Low, None, true, minutes(*at));
+        }
+        let series = history.series(minutes(case.now));
+        let Some(series) = series.first() else {
+            assert!(case.at.is_empty());
+            continue;
+        };
+        let got: Vec<u64> = series.windows.iter().map(|w| w.counts.calls).collect();
+        assert_eq!(got, case.want, "{:?} at {}", case.at, case.now);
+        let hour: u64 = series.minutes.iter().map(|c| c.calls).sum();
+        assert_eq!(hour, case.want[2]);
+        assert_eq!(series.minutes.len(), 60);
+        assert_eq!(series.windows[6].window, Window::ThreeDays);
+    }
+}
+
+#[test]
+fn history_outcomes_and_bound() {
+    let mut history = History::new();
+    let service = ServiceName::new("payments");
+    let ends = [
+        (None, true),
+        (None, false),
+        (Some(ErrorKind::NotRun(NotRunKind::Shed)), true),
+        (Some(ErrorKind::Unknown(UnknownKind::Deadline)), false),
+    ];
+    for (error, good) in ends {
+        history.count(&service, Priority::High, error, good, Time::ZERO);
+    }
+    let want = Counts {
+        calls: 4,
+        good: 1,
+        not_run: 1,
+        unknown: 1,
+    };
+    assert_eq!(history.series(Time::ZERO)[0].windows[0].counts, want);
+    for i in 0..MAX_SERIES + 5 {
+        let service = ServiceName::new(&format!("service-{i}"));
+        history.count(&service, Priority::High, None, true, Time::ZERO);
+    }
+    assert_eq!(history.series(Time::ZERO).len(), MAX_SERIES);
+}
