--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod level_view;
 pub mod limit;
 pub mod link;
+pub mod links;
 pub mod members;
 pub mod pause;
 pub mod poison;
