--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,12 +20,14 @@
 pub mod policy;
 pub mod protocol;
 pub mod report;
+pub mod running;
 pub mod settings;
 pub mod standin;
 pub mod state;
 pub mod status;
 pub mod timer;
 pub mod transport;
+pub mod waiters;
 
 pub use call::CallContext;
 pub use call::Priority;
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -9,7 +9,7 @@
 use crate::instance::InstanceState;
 use crate::instance::RegionName;
 use crate::instance::ServiceName;
-use crate::node::RunningNode;
+use crate::running::RunningNode;
 use crate::settings::FleetKeys;
 use crate::settings::Identity;
 use crate::settings::Ports;
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -19,7 +19,7 @@
 
 use crate::protocol::header;
 use crate::transport::forward;
-use crate::transport::ingress;
+use crate::transport::server;
 use crate::transport::server::Server;
 
 /// Longest body of an answer, in bytes.
@@ -115,7 +115,7 @@
             client: forward::client()?,
             name: name.to_owned(),
         });
-        let server = Server::start(address, ingress::catch_all(Answering(shared.clone()))).await?;
+        let server = Server::start(address, server::catch_all(Answering(shared.clone()))).await?;
         Ok(TargetStandin { shared, server })
     }
 
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -34,7 +34,7 @@
 use crate::transport::forward;
 use crate::transport::forward::Answer;
 use crate::transport::head::Head;
-use crate::transport::ingress;
+use crate::transport::outgoing;
 use crate::transport::reply;
 use crate::transport::reply::Connection;
 use crate::transport::told;
@@ -93,7 +93,10 @@
     let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
     let treatment = Treatment::new(rule, head.method.as_str());
     let child = child_of(node, &head, &treatment).map_err(refusal)?;
-    let RequestBody::Held(body) = ingress::read_body(node, &head, data).await? else {
+    let RequestBody::Held(body) = outgoing::read_body(node, &head, data)
+        .await
+        .map_err(refusal)?
+    else {
         node.gate.give_back(&child, child.context.spare);
         return Err(refusal(NotRunKind::BodyTooLarge));
     };
@@ -254,7 +257,7 @@
         .request(out.method.clone(), url)
         .headers(out.headers.clone())
         .header(header::HOP, node.sign_hop(&attempt));
-    let req = ingress::held_body(req, out.body);
+    let req = outgoing::held_body(req, out.body);
     let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
     let outcome = match tokio::time::timeout(attempt.context.remaining, sending).await {
         Ok(outcome) => outcome,
--- a/src/transport/ingress.rs
+++ b/src/transport/ingress.rs
@@ -1,19 +1,13 @@
 //! HTTP ingress of a node: calls from callers and from other nodes.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
-use futures_util::future::BoxFuture;
-use futures_util::future::Fuse;
 use rocket::Data;
 use rocket::Request;
 use rocket::Response;
-use rocket::Route;
-use rocket::http::Method;
 use rocket::route::Handler;
 use tokio::sync::oneshot;
 
@@ -29,7 +23,6 @@
 use crate::error::NotRunKind;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
-use crate::node::KeptAnswer;
 use crate::node::Node;
 use crate::protocol::header;
 use crate::protocol::hop::HopError;
@@ -42,34 +35,11 @@
 use crate::transport::forward;
 use crate::transport::forward::Answer;
 use crate::transport::head::Head;
+use crate::transport::kept::KeptAnswer;
+use crate::transport::outgoing;
 use crate::transport::reply;
 use crate::transport::reply::Connection;
-
-/// Methods that are served.
-const METHODS: [Method; 8] = [
-    Method::Get,
-    Method::Put,
-    Method::Post,
-    Method::Delete,
-    Method::Options,
-    Method::Head,
-    Method::Trace,
-    Method::Patch,
-];
-
-/// A request body that is still being sent on.
-pub type Pump<'r> = Fuse<BoxFuture<'r, ()>>;
-
-/// Returns the routes that hand every request to `handler`.
-pub fn catch_all<H>(handler: H) -> Vec<Route>
-where
-    H: Handler + Clone,
-{
-    METHODS
-        .iter()
-        .map(|method| Route::new(*method, "/<path..>", handler.clone()))
-        .collect()
-}
+use crate::waiters::Expected;
 
 /// Serves calls that arrive for the instance.
 #[derive(Clone)]
@@ -101,20 +71,22 @@
     data: Data<'r>,
 ) -> Result<Response<'r>, Refusal> {
     let call = read_call(node, req)?;
-    let body = read_body(node, &call.head, data).await?;
+    let body = outgoing::read_body(node, &call.head, data)
+        .await
+        .map_err(refusal)?;
     let connection = Connection {
         local_port: node.ingress_port(),
         remote: req.remote(),
     };
     let ticket = node.next_ticket();
-    let (start, stop) = node.expect(ticket);
+    let Expected { start, stop } = node.waiters.expect(ticket);
     match arrive(node, ticket, &call) {
         Arrived::Refused(refusal) => {
-            node.forget(ticket);
+            node.waiters.forget(ticket);
             move_sideways(node, &call, body, refusal, connection).await
         }
         Arrived::Replayed(kept) => {
-            node.forget(ticket);
+            node.waiters.forget(ticket);
             Ok(reply::completed(
                 kept.to_answer(),
                 &node.notes(None),
@@ -176,26 +148,6 @@
     })
 }
 
-/// Reads the body of a request, holding it whole if it is small.
-pub async fn read_body<'r>(
-    node: &Node,
-    head: &Head,
-    data: Data<'r>,
-) -> Result<RequestBody<'r>, Refusal> {
-    let length = head
-        .number(http::header::CONTENT_LENGTH.as_str())
-        .map_err(refusal)?;
-    let cfg = &node.settings.limits;
-    RequestBody::read(
-        data,
-        length,
-        cfg.request_buffer_bytes as usize,
-        cfg.max_body_bytes,
-    )
-    .await
-    .map_err(refusal)
-}
-
 fn arrive(node: &Arc<Node>, ticket: Ticket, call: &Incoming) -> Arrived<KeptAnswer> {
     let arrival = Arrival {
         ticket,
@@ -205,7 +157,7 @@
     };
     let mut effects = Vec::new();
     let arrived = node.gate.arrive(&arrival, node.clock.now(), &mut effects);
-    node.apply(&effects);
+    node.waiters.apply(&effects);
     arrived
 }
 
@@ -241,11 +193,11 @@
         armed: true,
     };
     let req = target_request(node, ticket, call, deadline);
-    let (req, mut pump) = with_body(node, req, body);
+    let (req, mut pump) = outgoing::with_body(node, req, body);
     let left = deadline.since(node.clock.now());
     let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
     let outcome = tokio::select! {
-        outcome = drive(sending, &mut pump) => outcome,
+        outcome = outgoing::drive(sending, &mut pump) => outcome,
         kind = stop => Outcome::Unknown(kind.unwrap_or(UnknownKind::Cancelled)),
         () = tokio::time::sleep(left) => Outcome::Unknown(UnknownKind::Deadline),
     };
@@ -269,7 +221,7 @@
 fn pass_on<'r>(
     guard: RunGuard,
     mut answer: Answer,
-    pump: Option<Pump<'r>>,
+    pump: Option<outgoing::Pump<'r>>,
     deadline: Time,
     connection: Connection,
 ) -> Response<'r> {
@@ -327,59 +279,6 @@
         .header(header::TIMEOUT_MS, left.to_string())
 }
 
-/// Adds a body to a request; a streamed one comes with the pump that must be driven.
-pub fn with_body<'r>(
-    node: &Node,
-    req: reqwest::RequestBuilder,
-    body: RequestBody<'r>,
-) -> (reqwest::RequestBuilder, Option<Pump<'r>>) {
-    match body {
-        RequestBody::Held(bytes) => (held_body(req, &bytes), None),
-        RequestBody::Streamed {
-            first,
-            rest,
-            length,
-        } => {
-            let (tx, out) = body::channel();
-            let pump = body::pump(first, rest, node.settings.limits.max_body_bytes, tx)
-                .boxed()
-                .fuse();
-            let req = match length {
-                Some(length) => req.header(http::header::CONTENT_LENGTH, length),
-                None => req,
-            };
-            (req.body(out), Some(pump))
-        }
-    }
-}
-
-/// Adds a body that is held, if there is one.
-pub fn held_body(req: reqwest::RequestBuilder, bytes: &Bytes) -> reqwest::RequestBuilder {
-    if bytes.is_empty() {
-        req
-    } else {
-        req.body(bytes.clone())
-    }
-}
-
-/// Waits for `work` while the request body is being sent.
-pub async fn drive<F>(work: F, pump: &mut Option<Pump<'_>>) -> F::Output
-where
-    F: Future,
-{
-    let Some(running) = pump else {
-        return work.await;
-    };
-    let mut work = std::pin::pin!(work);
-    tokio::select! {
-        output = &mut work => output,
-        () = &mut *running => {
-            *pump = None;
-            work.await
-        }
-    }
-}
-
 /// Tries the other instances of the service once for a call that was refused here.
 async fn move_sideways<'r>(
     node: &Arc<Node>,
--- /dev/null
+++ b/src/transport/outgoing.rs
@@ -0,0 +1,88 @@
+//! Request bodies on their way from a caller to the next hop.
+
+use std::future::Future;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use futures_util::future::Fuse;
+use rocket::Data;
+
+use crate::error::NotRunKind;
+use crate::node::Node;
+use crate::transport::body;
+use crate::transport::body::RequestBody;
+use crate::transport::head::Head;
+
+/// A request body that is still being sent on.
+pub type Pump<'r> = Fuse<BoxFuture<'r, ()>>;
+
+/// Reads the body of a request, holding it whole if it is small.
+pub async fn read_body<'r>(
+    node: &Node,
+    head: &Head,
+    data: Data<'r>,
+) -> Result<RequestBody<'r>, NotRunKind> {
+    let length = head.number(http::header::CONTENT_LENGTH.as_str())?;
+    let cfg = &node.settings.limits;
+    RequestBody::read(
+        data,
+        length,
+        cfg.request_buffer_bytes as usize,
+        cfg.max_body_bytes,
+    )
+    .await
+}
+
+/// Adds a body to a request; a streamed one comes with the pump that must be driven.
+pub fn with_body<'r>(
+    node: &Node,
+    req: reqwest::RequestBuilder,
+    body: RequestBody<'r>,
+) -> (reqwest::RequestBuilder, Option<Pump<'r>>) {
+    match body {
+        RequestBody::Held(bytes) => (held_body(req, &bytes), None),
+        RequestBody::Streamed {
+            first,
+            rest,
+            length,
+        } => {
+            let (tx, out) = body::channel();
+            let pump = body::pump(first, rest, node.settings.limits.max_body_bytes, tx)
+                .boxed()
+                .fuse();
+            let req = match length {
+                Some(length) => req.header(http::header::CONTENT_LENGTH, length),
+                None => req,
+            };
+            (req.body(out), Some(pump))
+        }
+    }
+}
+
+/// Adds a body that is held, if there is one.
+pub fn held_body(req: reqwest::RequestBuilder, bytes: &Bytes) -> reqwest::RequestBuilder {
+    if bytes.is_empty() {
+        req
+    } else {
+        req.body(bytes.clone())
+    }
+}
+
+/// Waits for `work` while the request body is being sent.
+pub async fn drive<F>(work: F, pump: &mut Option<Pump<'_>>) -> F::Output
+where
+    F: Future,
+{
+    let Some(running) = pump else {
+        return work.await;
+    };
+    let mut work = std::pin::pin!(work);
+    tokio::select! {
+        output = &mut work => output,
+        () = &mut *running => {
+            *pump = None;
+            work.await
+        }
+    }
+}
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -8,6 +8,8 @@
 use rocket::config::LogLevel;
 use rocket::fairing::AdHoc;
 use rocket::figment::Figment;
+use rocket::http::Method;
+use rocket::route::Handler;
 use rocket::shield::Shield;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -18,6 +20,29 @@
 /// Seconds that answers in progress get once the server is told to stop.
 const STOP_GRACE_S: u32 = 1;
 
+/// Methods that are served.
+const METHODS: [Method; 8] = [
+    Method::Get,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Options,
+    Method::Head,
+    Method::Trace,
+    Method::Patch,
+];
+
+/// Returns the routes that hand every request to `handler`.
+pub fn catch_all<H>(handler: H) -> Vec<Route>
+where
+    H: Handler + Clone,
+{
+    METHODS
+        .iter()
+        .map(|method| Route::new(*method, "/<path..>", handler.clone()))
+        .collect()
+}
+
 /// An HTTP port that is being served.
 #[derive(Debug)]
 pub struct Server {
--- /dev/null
+++ b/src/waiters.rs
@@ -0,0 +1,88 @@
+//! Handlers that wait for a decision about their call.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use tokio::sync::oneshot;
+
+use crate::coordination::admission::Effect;
+use crate::coordination::admission::Ticket;
+use crate::error::NotRunKind;
+use crate::error::UnknownKind;
+
+struct Waiter {
+    start: Option<oneshot::Sender<Result<(), NotRunKind>>>,
+    stop: Option<oneshot::Sender<UnknownKind>>,
+}
+
+/// What a handler waits for.
+#[derive(Debug)]
+pub struct Expected {
+    /// Whether the call starts.
+    pub start: oneshot::Receiver<Result<(), NotRunKind>>,
+    /// Whether the call must stop after it has started.
+    pub stop: oneshot::Receiver<UnknownKind>,
+}
+
+/// Handlers that wait, by ticket.
+#[derive(Default)]
+pub struct Waiters {
+    table: Mutex<HashMap<Ticket, Waiter>>,
+}
+
+impl Waiters {
+    /// Expects a decision about a ticket.
+    pub fn expect(&self, ticket: Ticket) -> Expected {
+        let (start_tx, start) = oneshot::channel();
+        let (stop_tx, stop) = oneshot::channel();
+        let waiter = Waiter {
+            start: Some(start_tx),
+            stop: Some(stop_tx),
+        };
+        self.lock().insert(ticket, waiter);
+        Expected { start, stop }
+    }
+
+    /// Forgets a ticket.
+    pub fn forget(&self, ticket: Ticket) {
+        self.lock().remove(&ticket);
+    }
+
+    /// Tells handlers what was decided.
+    pub fn apply(&self, effects: &[Effect]) {
+        let mut waiters = self.lock();
+        for effect in effects {
+            match *effect {
+                Effect::Start(ticket) => tell_start(&mut waiters, ticket, Ok(())),
+                Effect::Drop(ticket, kind) => tell_start(&mut waiters, ticket, Err(kind)),
+                Effect::Preempt(ticket) => {
+                    tell_stop(&mut waiters, ticket, UnknownKind::Preempted);
+                }
+            }
+        }
+    }
+
+    /// Tells the handler of a ticket to stop.
+    pub fn stop(&self, ticket: Ticket, kind: UnknownKind) {
+        tell_stop(&mut self.lock(), ticket, kind);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Ticket, Waiter>> {
+        self.table.lock().unwrap_or_else(|p| p.into_inner())
+    }
+}
+
+fn tell_start(waiters: &mut HashMap<Ticket, Waiter>, ticket: Ticket, told: Result<(), NotRunKind>) {
+    let start = waiters.get_mut(&ticket).and_then(|w| w.start.take());
+    if let Some(start) = start {
+        let _ = start.send(told);
+    }
+}
+
+fn tell_stop(waiters: &mut HashMap<Ticket, Waiter>, ticket: Ticket, kind: UnknownKind) {
+    let stop = waiters.get_mut(&ticket).and_then(|w| w.stop.take());
+    if let Some(stop) = stop {
+        let _ = stop.send(kind);
+    }
+}
