--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,1 +1,179 @@
-//! Command line of the operator's tool.
+//! The operator's command line.
+
+use std::io;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+
+use crate::policy::Policy;
+use crate::policy::describe::explain;
+use crate::policy::diff::diff;
+
+/// Overload control for service call graphs.
+#[derive(Debug, Parser)]
+#[command(name = "dragonflylead", version)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What the operator asks for.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Check a policy file and list all of its errors
+    Check {
+        /// Policy file
+        file: PathBuf,
+    },
+    /// Tell which rule governs a call, and who asked for it
+    Explain {
+        /// Policy file
+        file: PathBuf,
+        /// HTTP method, such as GET
+        method: String,
+        /// Service that is called
+        service: String,
+        /// Path, such as /charge
+        path: String,
+    },
+    /// Tell what a new policy file changes, and for which calls
+    Diff {
+        /// Policy file in force
+        old: PathBuf,
+        /// Policy file to compare with it
+        new: PathBuf,
+    },
+}
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Everything is as it should be; exit code 0.
+    Good,
+    /// Something is wrong and was said; exit code 1.
+    Bad,
+}
+
+impl Exit {
+    /// Returns the exit code of the process.
+    pub fn code(self) -> u8 {
+        match self {
+            Exit::Good => 0,
+            Exit::Bad => 1,
+        }
+    }
+
+    fn good_if(good: bool) -> Exit {
+        if good { Exit::Good } else { Exit::Bad }
+    }
+}
+
+/// Runs a command. Results go to `out`, errors to `err`.
+pub fn run<O, E>(cli: &Cli, out: &mut O, err: &mut E) -> io::Result<Exit>
+where
+    O: Write,
+    E: Write,
+{
+    match &cli.command {
+        Command::Check { file } => run_check(file, out, err),
+        Command::Explain {
+            file,
+            method,
+            service,
+            path,
+        } => run_explain(file, [method, service, path], out, err),
+        Command::Diff { old, new } => run_diff(old, new, out, err),
+    }
+}
+
+fn run_check<O, E>(file: &Path, out: &mut O, err: &mut E) -> io::Result<Exit>
+where
+    O: Write,
+    E: Write,
+{
+    let Some(policy) = load(file, err)? else {
+        return Ok(Exit::Bad);
+    };
+    writeln!(
+        out,
+        "{}: accepted: {}, {}, {}, {}",
+        file.display(),
+        counted(policy.calls.len(), "call rule"),
+        counted(policy.services.len(), "service"),
+        counted(policy.links.len(), "link"),
+        counted(policy.slos.len(), "objective")
+    )?;
+    Ok(Exit::Good)
+}
+
+fn run_explain<O, E>(
+    file: &Path,
+    [method, service, path]: [&str; 3],
+    out: &mut O,
+    err: &mut E,
+) -> io::Result<Exit>
+where
+    O: Write,
+    E: Write,
+{
+    let Some(policy) = load(file, err)? else {
+        return Ok(Exit::Bad);
+    };
+    let explanation = explain(&policy, method, service, path);
+    write!(out, "{explanation}")?;
+    Ok(Exit::good_if(explanation.found))
+}
+
+fn run_diff<O, E>(old: &Path, new: &Path, out: &mut O, err: &mut E) -> io::Result<Exit>
+where
+    O: Write,
+    E: Write,
+{
+    let old = load(old, err)?;
+    let new = load(new, err)?;
+    let Some((old, new)) = old.zip(new) else {
+        return Ok(Exit::Bad);
+    };
+    write!(out, "{}", diff(&old, &new))?;
+    Ok(Exit::Good)
+}
+
+/// Reads a policy file, or says what is wrong with it.
+fn load<E>(file: &Path, err: &mut E) -> io::Result<Option<Policy>>
+where
+    E: Write,
+{
+    let name = file.display();
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(e) => {
+            writeln!(err, "{name}: {e}")?;
+            return Ok(None);
+        }
+    };
+    match Policy::parse(&text) {
+        Ok(policy) => Ok(Some(policy)),
+        Err(errors) => {
+            for e in &errors.errors {
+                writeln!(err, "{name}:{e}")?;
+            }
+            writeln!(
+                err,
+                "{name}: rejected: {}",
+                counted(errors.count(), "error")
+            )?;
+            Ok(None)
+        }
+    }
+}
+
+fn counted(n: usize, noun: &str) -> String {
+    match n {
+        1 => format!("1 {noun}"),
+        _ => format!("{n} {noun}s"),
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,1 +1,102 @@
-//! Logs as JSON lines.
+//! Logs as JSON lines on standard error.
+
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use log::LevelFilter;
+use log::Record;
+use log::SetLoggerError;
+use log::kv;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use serde::Serialize;
+
+/// Key of the request id in a record about a request: `info!(request:% = id; "...")`.
+pub const REQUEST: &str = "request";
+
+/// Libraries whose own records are logged from `warn` on.
+const LIBRARIES: [&str; 6] = [
+    "rocket",
+    "hyper",
+    "hyper_util",
+    "reqwest",
+    "jsonrpsee",
+    "rustls",
+];
+
+/// Fields of every line, which a record's own key-values do not replace.
+const FIXED: [&str; 4] = ["time", "level", "module", "message"];
+
+/// One line of the log.
+#[derive(Debug, Serialize)]
+struct Line<'a> {
+    /// Seconds since the Unix epoch.
+    time: f64,
+    level: &'static str,
+    module: &'a str,
+    message: String,
+    #[serde(flatten)]
+    fields: BTreeMap<String, serde_json::Value>,
+}
+
+/// Starts to log records from `level` on. Fails if a logger is already installed.
+pub fn init(level: LevelFilter) -> Result<(), SetLoggerError> {
+    let mut dispatch = fern::Dispatch::new().level(level);
+    for library in LIBRARIES {
+        dispatch = dispatch.level_for(library, level.min(LevelFilter::Warn));
+    }
+    dispatch
+        .format(|out, _, record| {
+            let text = line(record, SystemTime::now());
+            out.finish(format_args!("{text}"));
+        })
+        .chain(std::io::stderr())
+        .apply()
+}
+
+/// Writes a record as one line of JSON without its line end.
+pub fn line(record: &Record<'_>, now: SystemTime) -> String {
+    let mut fields = Fields::default();
+    let visited = record.key_values().visit(&mut fields);
+    debug_assert!(visited.is_ok(), "collecting key-values does not fail");
+    let since = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let line = Line {
+        time: since.as_millis() as f64 / 1000.0,
+        level: record.level().as_str(),
+        module: record.module_path().unwrap_or(record.target()),
+        message: record.args().to_string(),
+        fields: fields.0,
+    };
+    serde_json::to_string(&line).unwrap_or_else(|e| format!("{{\"message\":\"{e}\"}}"))
+}
+
+/// Collects the key-values of a record.
+#[derive(Default)]
+struct Fields(BTreeMap<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        if !FIXED.contains(&key.as_str()) {
+            self.0.insert(key.as_str().to_owned(), json(&value));
+        }
+        Ok(())
+    }
+}
+
+fn json(value: &Value<'_>) -> serde_json::Value {
+    if let Some(n) = value.to_u64() {
+        return n.into();
+    }
+    if let Some(n) = value.to_i64() {
+        return n.into();
+    }
+    if let Some(n) = value.to_f64() {
+        return n.into();
+    }
+    match value.to_bool() {
+        Some(truth) => truth.into(),
+        None => value.to_string().into(),
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,8 @@
 //! The policy: how calls are treated, one rule a line, each naming who asked for it.
 
 mod check;
+pub mod describe;
+pub mod diff;
 pub mod error;
 mod fields;
 mod line;
--- a/src/policy/value.rs
+++ b/src/policy/value.rs
@@ -113,19 +113,25 @@
 }
 
 /// Reads a duration such as `800ms`, `2s` or `1m`.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    let (number, unit) = split_unit(text);
+    let (_, millis) = DURATION_UNITS.iter().find(|(name, _)| *name == unit)?;
+    let millis = whole_number(number)?.checked_mul(*millis)?;
+    Some(Duration::from_millis(millis))
+}
+
 pub(super) fn duration(text: &str) -> Result<Duration, Allowed> {
-    let read = || {
-        let (number, unit) = split_unit(text);
-        let (_, millis) = DURATION_UNITS.iter().find(|(name, _)| *name == unit)?;
-        let millis = whole_number(number)?.checked_mul(*millis)?;
-        Some(Duration::from_millis(millis)).filter(|d| !d.is_zero() && *d <= MAX_DURATION)
-    };
-    read().ok_or_else(|| allowed("a whole number of ms, s or m from 1ms to 10m"))
+    parse_duration(text)
+        .filter(|d| !d.is_zero() && *d <= MAX_DURATION)
+        .ok_or_else(|| allowed("a whole number of ms, s or m from 1ms to 10m"))
 }
 
-/// Writes a duration as [`duration`] reads it.
-pub(super) fn duration_text(value: Duration) -> String {
+/// Writes a duration as [`parse_duration`] reads it.
+pub fn duration_text(value: Duration) -> String {
     let millis = value.as_millis();
+    if millis > 0 && millis.is_multiple_of(60_000) {
+        return format!("{}m", millis / 60_000);
+    }
     if millis.is_multiple_of(1000) {
         return format!("{}s", millis / 1000);
     }
@@ -228,26 +234,35 @@
     )))
 }
 
-/// Reads a name of a rule, service or region.
-pub(super) fn name(text: &str) -> Result<&str, Allowed> {
-    let valid = (1..=MAX_NAME_BYTES).contains(&text.len())
+/// Returns whether a text may name a rule, service, instance, region or failure domain.
+pub fn is_name(text: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&text.len())
         && text
             .bytes()
-            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
-    if valid {
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
+
+/// Describes what [`is_name`] accepts.
+pub fn name_form() -> String {
+    format!("1 to {MAX_NAME_BYTES} letters a-z or A-Z, digits, `-`, `_` or `.`")
+}
+
+/// Reads a name of a rule, service or region.
+pub(super) fn name(text: &str) -> Result<&str, Allowed> {
+    if is_name(text) {
         return Ok(text);
     }
-    Err(allowed(&format!(
-        "1 to {MAX_NAME_BYTES} letters a-z or A-Z, digits, `-`, `_` or `.`"
-    )))
+    Err(allowed(&name_form()))
 }
 
-fn split_unit(text: &str) -> (&str, &str) {
+/// Splits a text after its leading digits.
+pub fn split_unit(text: &str) -> (&str, &str) {
     let end = text.find(|c: char| !c.is_ascii_digit());
     text.split_at(end.unwrap_or(text.len()))
 }
 
-fn whole_number(text: &str) -> Option<u64> {
+/// Reads a number of digits only.
+pub fn whole_number(text: &str) -> Option<u64> {
     let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
     digits.then(|| text.parse().ok())?
 }
--- a/src/settings.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Settings of a node.
--- /dev/null
+++ b/tests/support/page.rs
@@ -0,0 +1,18 @@
+//! Pages of the documentation that are written out from the code.
+
+use std::path::Path;
+
+/// Asserts that the page `name` under `docs` reads `text`. `INSTA_UPDATE=always` writes it.
+pub(crate) fn assert_page(name: &str, text: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("docs")
+        .join(name);
+    if std::env::var("INSTA_UPDATE").is_ok_and(|update| update == "always") {
+        std::fs::write(&path, text).unwrap();
+    }
+    let page = std::fs::read_to_string(&path).unwrap_or_default();
+    assert!(
+        page == text,
+        "docs/{name} is out of date: run the test with INSTA_UPDATE=always"
+    );
+}
