--- a/src/policy/value.rs
+++ b/src/policy/value.rs
@@ -129,6 +129,9 @@
 /// Writes a duration as [`parse_duration`] reads it.
 pub fn duration_text(value: Duration) -> String {
     let millis = value.as_millis();
+    if millis > 0 && millis.is_multiple_of(60_000) {
+        return format!("{}m", millis / 60_000);
+    }
     if millis.is_multiple_of(1000) {
         return format!("{}s", millis / 1000);
     }
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -37,7 +37,7 @@
         meant(.nearest)
     )]
     UnknownKey {
-        /// Name of the section, empty before the first.
+        /// Name of the section, `no section` before the first.
         section: String,
         /// Name of the key.
         key: String,
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -1,8 +1,9 @@
 //! The table of all settings: sections, keys, defaults and allowed values.
 
+use std::time::Duration;
+
 use crate::policy::value::duration_text;
 use crate::policy::value::name_form;
-use std::time::Duration;
 
 /// Fewest characters of a fleet key.
 pub const MIN_KEY_CHARS: usize = 16;
