--- /dev/null
+++ b/tests/weighed_tokens.rs
@@ -0,0 +1,141 @@
+//! Counts for docs/design/at-most-once.md: tokens bound to an incarnation against key ownership.
+//!
+//! Each charge is sent once and runs; its answer is lost and its caller sends it again after a
+//! fault. Run with `cargo test --test weighed_tokens`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use dragonflylead::Fingerprint;
+use dragonflylead::Time;
+use dragonflylead::coordination::token::Spend;
+use dragonflylead::coordination::token::Tokens;
+use dragonflylead::instance::Incarnation;
+use dragonflylead::instance::InstanceName;
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
+use strum::Display;
+use strum::EnumIter;
+use strum::IntoEnumIterator;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+const CHARGES: u64 = 10_000;
+const INSTANCES: u64 = 4;
+const NOW: Time = Time::from_millis(1);
+
+/// What happens between the first copy of a charge and the second.
+#[derive(Clone, Copy, Debug, Display, EnumIter, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+enum Fault {
+    AnswerLost,
+    OwnerRestarted,
+    InstanceAdded,
+    OwnerLeftTheList,
+    PartitionListLags,
+    PartitionListCutUp,
+}
+
+#[derive(Default)]
+struct Counts {
+    twice: u32,
+    replayed: u32,
+    unknown: u32,
+}
+
+/// Instances that the entry node of the second copy believes to be live.
+fn view(fault: Fault, owner: u64) -> Vec<u64> {
+    let all = 0..INSTANCES;
+    match fault {
+        Fault::InstanceAdded => (0..=INSTANCES).collect(),
+        Fault::OwnerLeftTheList => all.filter(|n| *n != owner).collect(),
+        Fault::PartitionListCutUp => all.filter(|n| !cut_off(*n, owner)).collect(),
+        _ => all.collect(),
+    }
+}
+
+/// The second copy enters on the other side of the partition from `owner`.
+fn cut_off(instance: u64, owner: u64) -> bool {
+    instance % 2 == owner % 2
+}
+
+fn reachable(fault: Fault, instance: u64, owner: u64) -> bool {
+    let partition = matches!(fault, Fault::PartitionListLags | Fault::PartitionListCutUp);
+    !partition || !cut_off(instance, owner)
+}
+
+fn owner_of(key: u64, view: &[u64]) -> u64 {
+    let score = |n: &u64| xxh3_64_with_seed(&n.to_le_bytes(), key);
+    view.iter().copied().max_by_key(score).unwrap()
+}
+
+fn by_key(fault: Fault) -> Counts {
+    let mut counts = Counts::default();
+    for key in 0..CHARGES {
+        let owner = owner_of(key, &view(Fault::AnswerLost, 0));
+        let mut ran: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
+        ran.entry(owner).or_default().insert(key);
+        if fault == Fault::OwnerRestarted {
+            ran.remove(&owner);
+        }
+        let second = owner_of(key, &view(fault, owner));
+        if !reachable(fault, second, owner) {
+            counts.unknown += 1;
+        } else if ran.entry(second).or_default().insert(key) {
+            counts.twice += 1;
+        } else {
+            counts.replayed += 1;
+        }
+    }
+    counts
+}
+
+fn by_token(fault: Fault) -> Counts {
+    let mut rng = ChaCha12Rng::seed_from_u64(3);
+    let mut counts = Counts::default();
+    for key in 0..CHARGES {
+        let owner = owner_of(key, &view(Fault::AnswerLost, 0));
+        let name = InstanceName::new(&owner.to_string());
+        let charge = Fingerprint([key as u8; 16]);
+        let mut tokens = Tokens::new(&name, Incarnation(1));
+        let token = tokens.mint(NOW, &mut rng).unwrap();
+        assert_eq!(tokens.spend(NOW, &token, charge), Spend::Run);
+        tokens.complete(NOW, &token, (), 0);
+        if fault == Fault::OwnerRestarted {
+            tokens = Tokens::new(&name, Incarnation(2));
+        }
+        if !reachable(fault, owner, owner) || fault == Fault::OwnerLeftTheList {
+            counts.unknown += 1;
+            continue;
+        }
+        match tokens.spend(NOW, &token, charge) {
+            Spend::Run => counts.twice += 1,
+            Spend::Replay(()) => counts.replayed += 1,
+            Spend::InProgress | Spend::Refused(_) => counts.unknown += 1,
+        }
+    }
+    counts
+}
+
+fn row(fault: Fault, way: &str, counts: &Counts) -> String {
+    let Counts {
+        twice,
+        replayed,
+        unknown,
+    } = counts;
+    format!("{fault:<22} {way:<6} {twice:>9} {replayed:>9} {unknown:>9}\n")
+}
+
+#[test]
+fn double_runs_of_tokens_and_of_key_ownership() {
+    let mut table = format!(
+        "{:<22} {:<6} {:>9} {:>9} {:>9}\n",
+        "fault", "way", "ran twice", "replayed", "unknown"
+    );
+    for fault in Fault::iter() {
+        let tokens = by_token(fault);
+        assert_eq!(tokens.twice, 0, "{fault}");
+        table += &row(fault, "key", &by_key(fault));
+        table += &row(fault, "token", &tokens);
+    }
+    insta::assert_snapshot!(table);
+}
