--- /dev/null
+++ b/src/coordination/control/message.rs
@@ -0,0 +1,174 @@
+//! What the control planes of two nodes ask and answer.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::coordination::config::Rejection;
+use crate::coordination::document::Delta;
+use crate::coordination::document::Repair;
+use crate::coordination::document::RepairRequest;
+use crate::coordination::document::Stamp;
+use crate::coordination::gossip::Interval;
+use crate::instance::DomainName;
+use crate::instance::Incarnation;
+use crate::instance::InstanceName;
+
+/// The two published documents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// The configuration.
+    Config,
+    /// The instance list.
+    List,
+}
+
+impl Kind {
+    /// Both kinds.
+    pub const BOTH: [Kind; 2] = [Kind::Config, Kind::List];
+}
+
+/// The life of an instance that sends a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// What a node has and how it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Failure domain of the node.
+    pub domain: DomainName,
+    /// Configuration in force.
+    pub config: Stamp,
+    /// Instance list.
+    pub list: Stamp,
+    /// Whether the node acts on its view.
+    pub ready: bool,
+    /// Whether the node is leaving.
+    pub draining: bool,
+    /// Whether the node holds both documents whole.
+    pub complete: bool,
+}
+
+impl Status {
+    /// Returns the stamp of a document.
+    pub fn stamp(&self, kind: Kind) -> Stamp {
+        match kind {
+            Kind::Config => self.config,
+            Kind::List => self.list,
+        }
+    }
+}
+
+/// A node that can be asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its name, if it is known.
+    pub name: Option<InstanceName>,
+    /// Address of its peer port.
+    pub address: SocketAddr,
+}
+
+/// A delta, and the part of the members that the receiver is to hand it to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Push {
+    /// The document.
+    pub kind: Kind,
+    /// The delta.
+    pub delta: Delta,
+    /// The receiver's part of the member order.
+    pub interval: Interval,
+}
+
+/// What one node asks another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Request {
+    /// Compare what both have.
+    Exchange(Status),
+    /// Take a delta and hand it on.
+    Push(Push),
+    /// Send the sections that differ.
+    Repair {
+        /// The document.
+        kind: Kind,
+        /// What the asker holds.
+        request: RepairRequest,
+    },
+}
+
+/// Answer to an exchange.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchanged {
+    /// What the answering node has.
+    pub status: Status,
+    /// Deltas that lead the asker to the same configuration, if they are kept.
+    pub config: Vec<Delta>,
+    /// Deltas that lead the asker to the same instance list, if they are kept.
+    pub list: Vec<Delta>,
+    /// The latest revision, if it was rejected.
+    pub rejection: Option<Rejection>,
+    /// Readers of the answering node's domain, for an asker without a list.
+    pub readers: Vec<Contact>,
+}
+
+impl Exchanged {
+    /// Returns the deltas of a document.
+    pub fn deltas(&self, kind: Kind) -> &[Delta] {
+        match kind {
+            Kind::Config => &self.config,
+            Kind::List => &self.list,
+        }
+    }
+}
+
+/// What the other node answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Reply {
+    /// Answer to an exchange.
+    Exchanged(Box<Exchanged>),
+    /// The delta was taken.
+    Pushed,
+    /// The sections that differ, or nothing if the node does not hold them all.
+    Repair(Option<Repair>),
+    /// The asker is an earlier life of an instance that runs anew.
+    Superseded,
+}
+
+/// What the owner of a control plane has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a request and report the answer.
+    Send {
+        /// Receiver.
+        to: Contact,
+        /// Request.
+        request: Request,
+        /// Receivers that this request was sent to before.
+        tries: u32,
+    },
+    /// Call the platform and report the answer.
+    Watch(Watch),
+    /// Report a rejected revision to the operators.
+    Rejected(Rejection),
+}
+
+/// A call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Watch {
+    /// The document.
+    pub kind: Kind,
+    /// Answer with a revision above this one.
+    pub after: u64,
+    /// Time that the platform may wait for it.
+    pub wait: std::time::Duration,
+    /// Time to wait before the call.
+    pub delay: std::time::Duration,
+}
--- /dev/null
+++ b/src/coordination/control/mod.rs
@@ -0,0 +1,394 @@
+//! The control plane of one node as a state machine: configuration, instance list and membership.
+//!
+//! The owner reports ticks, requests, replies and platform answers; each returns the actions that
+//! follow. The daemon, the tests and the measurements drive the same code.
+
+mod message;
+mod platform;
+mod spread;
+mod startup;
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::clock::Time;
+use crate::coordination::config::ConfigState;
+use crate::coordination::document::Applied;
+use crate::coordination::document::Delta;
+use crate::coordination::document::Document;
+use crate::coordination::document::Line;
+use crate::coordination::document::LineKey;
+use crate::coordination::document::Revision;
+use crate::coordination::document::Section;
+use crate::coordination::gossip::DeltaLog;
+use crate::coordination::members::Member;
+use crate::coordination::members::Members;
+use crate::coordination::reader;
+use crate::instance::Incarnation;
+use crate::instance::Instance;
+use crate::instance::InstanceName;
+use crate::instance::ServiceName;
+
+pub use message::Action;
+pub use message::Contact;
+pub use message::Exchanged;
+pub use message::Kind;
+pub use message::Peer;
+pub use message::Push;
+pub use message::Reply;
+pub use message::Request;
+pub use message::Status;
+pub use message::Watch;
+pub use platform::Answer;
+
+use platform::WatchState;
+use spread::Outbox;
+use startup::Phase;
+
+/// Time after which a node that ceased to be a reader gives up the lines it does not need.
+const READER_LINGER: Duration = Duration::from_secs(60);
+
+/// Decides by the text alone whether a configuration is accepted.
+pub type Accept = Box<dyn Fn(&str) -> Result<(), String> + Send>;
+
+/// Spans between the regular actions of a control plane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Between two ticks.
+    pub tick: Duration,
+    /// Between two exchanges with a member of the same domain, on average.
+    pub exchange: Duration,
+    /// Between two exchanges of a reader with a reader of another domain, on average.
+    pub cross: Duration,
+    /// Time for which a reader gathers changes before it sends them.
+    pub coalesce: Duration,
+    /// Time that each reader gives the one before it to send a change.
+    pub stagger: Duration,
+    /// Silence after which a repair is asked for again.
+    pub repair: Duration,
+    /// Gap between two ticks, beyond the expected one, that counts as a process pause.
+    pub pause: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace {
+            tick: Duration::from_millis(200),
+            exchange: Duration::from_secs(3),
+            cross: Duration::from_secs(2),
+            coalesce: Duration::from_millis(200),
+            stagger: Duration::from_millis(500),
+            repair: Duration::from_secs(2),
+            pause: crate::timer::PAUSE_GAP,
+        }
+    }
+}
+
+/// What a control plane is told at its start.
+pub struct ControlSettings {
+    /// The instance beside which the node stands.
+    pub instance: Instance,
+    /// This life of the node, above those before it.
+    pub incarnation: Incarnation,
+    /// Services that the target calls.
+    pub calls: Vec<ServiceName>,
+    /// Peer ports that are asked before the list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Number of instances in the fleet, over which first calls to the platform are spread.
+    pub fleet_size: u64,
+    /// Spans between regular actions.
+    pub pace: Pace,
+    /// Decides whether a configuration is accepted.
+    pub accept: Accept,
+}
+
+/// The control plane of one node.
+pub struct Control {
+    me: Instance,
+    incarnation: Incarnation,
+    seeds: Vec<SocketAddr>,
+    fleet_size: u64,
+    pace: Pace,
+    accept: Accept,
+    config: ConfigState,
+    list: Document,
+    logs: [DeltaLog; 2],
+    outbox: [Option<Outbox>; 2],
+    watches: [WatchState; 2],
+    repair_until: [Time; 2],
+    members: Members,
+    readers: Vec<InstanceName>,
+    phase: Phase,
+    draining: bool,
+    changed: bool,
+    last_tick: Option<Time>,
+    next_exchange: Time,
+    next_cross: Time,
+    reader_until: Time,
+}
+
+impl fmt::Debug for Control {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Control")
+            .field("name", &self.me.name)
+            .field("revision", &self.revision())
+            .field("ready", &self.is_ready())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Control {
+    /// Builds the control plane of a node that just started.
+    pub fn new(settings: ControlSettings) -> Control {
+        let mut wanted = BTreeSet::from([
+            Section::Global,
+            Section::Service(settings.instance.service.clone()),
+        ]);
+        wanted.extend(settings.calls.into_iter().map(Section::Service));
+        let mut listed = wanted.clone();
+        listed.insert(Section::Domain(settings.instance.domain.clone()));
+        Control {
+            me: settings.instance,
+            incarnation: settings.incarnation,
+            seeds: settings.seeds,
+            fleet_size: settings.fleet_size,
+            pace: settings.pace,
+            accept: settings.accept,
+            config: ConfigState::new(wanted),
+            list: Document::new(listed),
+            logs: Default::default(),
+            outbox: [None, None],
+            watches: Default::default(),
+            repair_until: [Time::ZERO; 2],
+            members: Members::default(),
+            readers: Vec::new(),
+            phase: Phase::starting(),
+            draining: false,
+            changed: false,
+            last_tick: None,
+            next_exchange: Time::ZERO,
+            next_cross: Time::ZERO,
+            reader_until: Time::ZERO,
+        }
+    }
+
+    /// Returns who this node is to its peers.
+    pub fn peer(&self) -> Peer {
+        Peer {
+            name: self.me.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Returns the instance beside which the node stands.
+    pub fn instance(&self) -> &Instance {
+        &self.me
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.config.revision()
+    }
+
+    /// Returns whether the node may act on its view.
+    pub fn is_ready(&self) -> bool {
+        self.phase.is_ready()
+    }
+
+    /// Returns the configuration.
+    pub fn config(&self) -> &ConfigState {
+        &self.config
+    }
+
+    /// Returns what is known of other instances.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Returns what this node has and how it stands.
+    pub fn status(&self) -> Status {
+        Status {
+            domain: self.me.domain.clone(),
+            config: self.config.document().stamp(),
+            list: self.list.stamp(),
+            ready: self.is_ready(),
+            draining: self.draining,
+            complete: self.is_complete(),
+        }
+    }
+
+    /// Returns whether the view changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Announces to peers that this node is leaving.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Notes what the data path observed of an instance.
+    pub fn observe(&mut self, now: Time, peer: &Peer, draining: bool) {
+        self.members
+            .heard(now, &peer.name, peer.incarnation, draining);
+        self.changed = true;
+    }
+
+    /// Returns whether rules and instances of `service` are held.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        let section = Section::Service(service.clone());
+        self.config.document().holds(&section) && self.list.holds(&section)
+    }
+
+    /// Adds a service whose rules and instances are needed from now on.
+    pub fn want<R>(&mut self, now: Time, service: &ServiceName, rng: &mut R) -> Vec<Action>
+    where
+        R: Rng,
+    {
+        let section = Section::Service(service.clone());
+        let fetch = [
+            self.config.want(section.clone()),
+            self.list.want(section.clone()),
+        ];
+        let mut actions = Vec::new();
+        for (kind, fetch) in Kind::BOTH.into_iter().zip(fetch) {
+            if fetch {
+                self.repair_until[kind as usize] = Time::ZERO;
+                self.ask_repair(now, kind, None, rng, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Does what is due. The owner calls it every [`Pace::tick`].
+    pub fn tick<R>(&mut self, now: Time, rng: &mut R) -> Vec<Action>
+    where
+        R: Rng,
+    {
+        let mut actions = Vec::new();
+        self.notice_pause(now);
+        self.last_tick = Some(now);
+        self.rank_readers();
+        self.linger_as_reader(now);
+        self.start(now, rng, &mut actions);
+        self.exchange_regularly(now, rng, &mut actions);
+        self.repair_regularly(now, rng, &mut actions);
+        self.send_outbox(now, &mut actions);
+        self.watch(now, rng, &mut actions);
+        actions
+    }
+
+    /// Returns whether the node reads the platform for its domain.
+    pub fn is_reader(&self) -> bool {
+        self.reader_rank().is_some()
+    }
+
+    fn reader_rank(&self) -> Option<usize> {
+        self.readers.iter().position(|n| *n == self.me.name)
+    }
+
+    fn rank_readers(&mut self) {
+        let mut names: BTreeSet<&InstanceName> = self.domain_peers().map(name).collect();
+        if self.list.stamp().revision > Revision::default() {
+            names.insert(&self.me.name);
+        }
+        let readers = reader::readers(names).into_iter().cloned().collect();
+        self.readers = readers;
+    }
+
+    /// Returns the other reachable members of the domain.
+    fn domain_peers(&self) -> impl Iterator<Item = &Member> {
+        self.members
+            .of_domain(&self.me.domain)
+            .filter(|m| m.instance.name != self.me.name && m.is_reachable())
+    }
+
+    fn is_complete(&self) -> bool {
+        self.config.document().is_complete() && self.list.is_complete()
+    }
+
+    fn linger_as_reader(&mut self, now: Time) {
+        if self.is_reader() {
+            self.reader_until = now.plus(READER_LINGER);
+        }
+        let holds_more = self.config.document().is_complete() || self.list.is_complete();
+        if holds_more && now > self.reader_until {
+            self.config.drop_unwanted();
+            self.list.drop_unwanted();
+            self.list_changed(now);
+        }
+    }
+
+    fn document(&self, kind: Kind) -> &Document {
+        match kind {
+            Kind::Config => self.config.document(),
+            Kind::List => &self.list,
+        }
+    }
+
+    fn apply(&mut self, now: Time, kind: Kind, delta: &Delta) -> Applied {
+        let applied = match kind {
+            Kind::Config => self.config.apply(delta),
+            Kind::List => self.list.apply(delta),
+        };
+        if applied == Applied::Done {
+            self.logs[kind as usize].keep(delta);
+            self.document_changed(now, kind);
+        }
+        applied
+    }
+
+    fn document_changed(&mut self, now: Time, kind: Kind) {
+        self.changed = true;
+        if kind == Kind::List {
+            self.list_changed(now);
+        }
+    }
+
+    fn list_changed(&mut self, now: Time) {
+        let parse = |l: &Line| serde_json::from_str::<Instance>(&l.text).ok();
+        let listed = self.list.lines().filter_map(parse).collect();
+        self.members.update(now, listed);
+        self.rank_readers();
+        self.changed = true;
+    }
+
+    fn notice_pause(&mut self, now: Time) {
+        let gap = self.last_tick.map(|last| now.since(last));
+        if gap.is_some_and(|gap| gap > self.pace.tick + self.pace.pause) {
+            self.check_view();
+            self.last_tick = Some(now);
+        }
+    }
+}
+
+fn name(member: &Member) -> &InstanceName {
+    &member.instance.name
+}
+
+fn contact(member: &Member) -> Contact {
+    Contact {
+        name: Some(member.instance.name.clone()),
+        address: member.instance.peer,
+    }
+}
+
+/// Returns the line that stands for an instance in the instance list.
+fn instance_line(instance: &Instance) -> Line {
+    Line {
+        key: LineKey {
+            group: "instances".to_owned(),
+            name: instance.name.as_str().to_owned(),
+        },
+        index: 0,
+        sections: vec![
+            Section::Service(instance.service.clone()),
+            Section::Domain(instance.domain.clone()),
+        ],
+        text: serde_json::to_string(instance).expect("an instance is always representable"),
+    }
+}
--- /dev/null
+++ b/src/coordination/control/platform.rs
@@ -0,0 +1,150 @@
+//! Reading the platform.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::clock::Time;
+use crate::coordination::config::Offered;
+use crate::coordination::control::Action;
+use crate::coordination::control::Control;
+use crate::coordination::control::Kind;
+use crate::coordination::control::Watch;
+use crate::coordination::control::instance_line;
+use crate::coordination::document::Revision;
+use crate::coordination::reader;
+use crate::instance::Instance;
+
+/// State of the watch of one document.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WatchState {
+    running: bool,
+    started: bool,
+    failures: u32,
+}
+
+/// What the platform answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer<D> {
+    /// A document.
+    Newer(Revision, D),
+    /// Nothing newer came up in time.
+    Nothing,
+    /// The call failed.
+    Failed,
+}
+
+impl Control {
+    /// Takes the platform's answer to a watch of the configuration.
+    pub fn config_answer(&mut self, now: Time, answer: Answer<&str>) -> Vec<Action> {
+        let Some((revision, text)) = self.newer(Kind::Config, answer) else {
+            return Vec::new();
+        };
+        let offered = self.config.offer(revision, text, &self.accept);
+        self.watched(Kind::Config, offered != Offered::Old);
+        let mut actions = Vec::new();
+        match offered {
+            Offered::Accepted(delta) => {
+                self.document_changed(now, Kind::Config);
+                delta
+                    .into_iter()
+                    .for_each(|d| self.spread(now, Kind::Config, d));
+            }
+            Offered::Rejected(rejection) => actions.push(Action::Rejected(rejection)),
+            Offered::Old => (),
+        }
+        actions
+    }
+
+    /// Takes the platform's answer to a watch of the instance list.
+    pub fn list_answer(&mut self, now: Time, answer: Answer<&[Instance]>) {
+        let Some((revision, instances)) = self.newer(Kind::List, answer) else {
+            return;
+        };
+        let have = self.list.stamp().revision;
+        let completes = revision == have && !self.list.is_complete();
+        let newer = revision > have || completes;
+        self.watched(Kind::List, newer);
+        if newer {
+            let lines = instances.iter().map(instance_line).collect();
+            let delta = self.list.replace(revision, lines);
+            self.document_changed(now, Kind::List);
+            delta
+                .into_iter()
+                .for_each(|d| self.spread(now, Kind::List, d));
+        }
+    }
+
+    fn newer<D>(&mut self, kind: Kind, answer: Answer<D>) -> Option<(Revision, D)> {
+        if !matches!(answer, Answer::Failed) {
+            self.phase.platform_answered(kind);
+        }
+        match answer {
+            Answer::Newer(revision, document) => return Some((revision, document)),
+            Answer::Nothing => self.watched(kind, self.document(kind).is_complete()),
+            Answer::Failed => self.watched(kind, false),
+        }
+        None
+    }
+
+    fn watched(&mut self, kind: Kind, good: bool) {
+        let state = &mut self.watches[kind as usize];
+        state.running = false;
+        state.failures = if good { 0 } else { state.failures + 1 };
+    }
+
+    /// Starts the watches that are needed and not running.
+    pub(super) fn watch<R>(&mut self, now: Time, rng: &mut R, actions: &mut Vec<Action>)
+    where
+        R: Rng,
+    {
+        let reader = self.is_reader();
+        for kind in Kind::BOTH {
+            let listless = kind == Kind::List && self.needs_list_from_platform(now);
+            if self.watches[kind as usize].running || !(reader || listless) {
+                continue;
+            }
+            let delay = self.watch_delay(kind, rng);
+            let complete = self.document(kind).is_complete();
+            let state = &mut self.watches[kind as usize];
+            state.running = true;
+            state.started = true;
+            let after = match kind {
+                _ if !complete => 0,
+                Kind::Config => self.config.seen().0,
+                Kind::List => self.list.stamp().revision.0,
+            };
+            let wait = if complete {
+                reader::WATCH_WAIT
+            } else {
+                Duration::ZERO
+            };
+            actions.push(Action::Watch(Watch {
+                kind,
+                after,
+                wait,
+                delay,
+            }));
+        }
+    }
+
+    fn watch_delay<R>(&self, kind: Kind, rng: &mut R) -> Duration
+    where
+        R: Rng,
+    {
+        let state = &self.watches[kind as usize];
+        if state.failures > 0 {
+            return reader::backoff(state.failures, rng);
+        }
+        if state.started {
+            return reader::CALL_GAP;
+        }
+        let listless = self.list.stamp().revision == Revision::default();
+        if !listless {
+            return Duration::ZERO;
+        }
+        let spread = reader::start_spread(self.fleet_size);
+        spread.mul_f64(rng.random_range(0.0..1.0))
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,7 +4,9 @@
 pub mod admission;
 pub mod budget;
 pub mod config;
+pub mod control;
 pub mod dispatch;
+pub mod document;
 pub mod ejection;
 pub mod gate;
 pub mod gossip;
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -1,1 +1,110 @@
-//! Choice of the nodes that read the platform.
+//! Which nodes read the platform, and how often.
+//!
+//! The readers of a failure domain are the first by rendezvous hash of its live members. Nodes with
+//! different views choose different readers, which costs platform calls and does no other harm.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::instance::InstanceName;
+
+/// Readers of a failure domain.
+pub const READERS_PER_DOMAIN: usize = 3;
+
+/// Documents that a reader watches.
+pub const WATCHES_PER_READER: usize = 2;
+
+/// Longest time that a watch waits for something newer.
+pub const WATCH_WAIT: Duration = Duration::from_secs(30);
+
+/// Shortest time between two calls of a node for the same document.
+pub const CALL_GAP: Duration = Duration::from_millis(250);
+
+/// Upper bound of the first wait after a failed call.
+pub const BACKOFF_FIRST: Duration = Duration::from_secs(1);
+
+/// Upper bound of the wait after many failed calls.
+pub const BACKOFF_MAX: Duration = Duration::from_secs(30);
+
+/// Calls per second that a fleet makes while all of its nodes start at once.
+pub const START_CALLS_PER_SECOND: u64 = 500;
+
+/// Seed of the rendezvous hash of readers.
+const READER_SEED: u64 = 0x5ead;
+
+/// Returns the readers among `names`, first in rank first.
+pub fn readers<'a, I>(names: I) -> Vec<&'a InstanceName>
+where
+    I: IntoIterator<Item = &'a InstanceName>,
+{
+    let mut ranked: Vec<(u64, &InstanceName)> = names
+        .into_iter()
+        .map(|n| (xxh3_64_with_seed(n.as_str().as_bytes(), READER_SEED), n))
+        .collect();
+    ranked.sort_unstable();
+    let first = ranked.into_iter().take(READERS_PER_DOMAIN);
+    first.map(|(_, name)| name).collect()
+}
+
+/// Returns the time to wait after `failures` failed calls in a row, none after a success.
+///
+/// The wait is drawn between half of its bound and the bound.
+pub fn backoff<R>(failures: u32, rng: &mut R) -> Duration
+where
+    R: Rng,
+{
+    let Some(doublings) = failures.checked_sub(1) else {
+        return Duration::ZERO;
+    };
+    let bound = BACKOFF_FIRST
+        .saturating_mul(1 << doublings.min(16))
+        .min(BACKOFF_MAX);
+    bound.mul_f64(rng.random_range(0.5..=1.0))
+}
+
+/// Returns the span over which the nodes of a fleet of `size` spread their first call.
+pub fn start_spread(size: u64) -> Duration {
+    Duration::from_millis(size * 1_000 / START_CALLS_PER_SECOND)
+}
+
+/// Calls per second that a fleet makes to the platform, by situation.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallRates {
+    /// Nothing changes.
+    pub rest: f64,
+    /// Configuration and instance list change as stated.
+    pub changing: f64,
+    /// The platform is away.
+    pub away: f64,
+    /// The first second after the platform went away.
+    pub away_first: f64,
+    /// The second in which the platform returns, at most.
+    pub back: f64,
+    /// All nodes start at once.
+    pub start: f64,
+}
+
+/// Works out the platform calls of a fleet.
+///
+/// A change ends one watch of each reader, which then starts the next. After an outage each watch is
+/// tried again within [`BACKOFF_MAX`], at the earliest after half of it.
+pub fn call_rates(size: u64, domains: u64, config_per_day: f64, list_per_day: f64) -> CallRates {
+    const DAY_SECONDS: f64 = 86_400.0;
+    let readers = (domains * READERS_PER_DOMAIN as u64) as f64;
+    let watches = readers * WATCHES_PER_READER as f64;
+    let rest = watches / WATCH_WAIT.as_secs_f64();
+    let changes = (config_per_day + list_per_day) / DAY_SECONDS;
+    let half = BACKOFF_MAX.as_secs_f64() / 2.0;
+    let spread = start_spread(size).as_secs_f64();
+    CallRates {
+        rest,
+        changing: rest + changes * readers,
+        away: watches / (half * 1.5),
+        away_first: watches * 2.0,
+        back: watches / half,
+        start: size as f64 / spread + watches / half,
+    }
+}
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -1,1 +1,109 @@
 //! View of the fleet: configuration and instances that this node needs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::instance::Incarnation;
+use crate::instance::Instance;
+use crate::instance::InstanceName;
+use crate::instance::ServiceName;
+use crate::policy::Policy;
+use crate::state::Rank;
+use crate::state::Table;
+
+/// An instance that a node may send calls to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The instance as listed.
+    pub instance: Instance,
+    /// Its latest incarnation, if it was heard of.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// A consistent view of the fleet. It does not change once it is published.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    revision: u64,
+    ready: bool,
+    policy: Arc<Policy>,
+    services: BTreeMap<ServiceName, Vec<Known>>,
+}
+
+impl Fleet {
+    /// Builds a view.
+    pub fn new<I>(revision: u64, ready: bool, policy: Arc<Policy>, instances: I) -> Fleet
+    where
+        I: IntoIterator<Item = Known>,
+    {
+        let mut services: BTreeMap<ServiceName, Vec<Known>> = BTreeMap::new();
+        for known in instances {
+            let service = known.instance.service.clone();
+            services.entry(service).or_default().push(known);
+        }
+        Fleet {
+            revision,
+            ready,
+            policy,
+            services,
+        }
+    }
+
+    /// Returns the revision of the configuration in force, 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns whether the node may act on this view.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns the policy in force, with the rules that this node needs.
+    pub fn policy(&self) -> &Arc<Policy> {
+        &self.policy
+    }
+
+    /// Returns the known instances of a service, by name.
+    pub fn instances(&self, service: &str) -> &[Known] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns an instance.
+    pub fn instance(&self, service: &str, name: &InstanceName) -> Option<&Known> {
+        let mut instances = self.instances(service).iter();
+        instances.find(|known| known.instance.name == *name)
+    }
+
+    /// Returns the services with known instances.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+}
+
+/// The published view, replaced as a whole.
+#[derive(Debug)]
+pub struct FleetTable {
+    current: Table<Arc<Fleet>>,
+}
+
+impl Default for FleetTable {
+    fn default() -> FleetTable {
+        FleetTable {
+            current: Table::new(Rank::Fleet, Arc::default()),
+        }
+    }
+}
+
+impl FleetTable {
+    /// Returns the current view.
+    pub fn snapshot(&self) -> Arc<Fleet> {
+        self.current.lock().clone()
+    }
+
+    /// Publishes a view.
+    pub fn publish(&self, fleet: Fleet) {
+        *self.current.lock() = Arc::new(fleet);
+    }
+}
