--- /dev/null
+++ b/src/coordination/gate/mod.rs
@@ -0,0 +1,322 @@
+//! Ingress decisions: what happens to a call that arrives at an instance.
+//!
+//! The gate holds a call from [`Gate::arrive`] until [`Gate::finish`]; whoever hands it a call ends
+//! it exactly once, with the outcome that the caller is told. Until then its token is in progress.
+
+mod arrive;
+
+use rand::CryptoRng;
+
+use crate::call::RequestId;
+use crate::clock::Time;
+use crate::coordination::admission::Admission;
+use crate::coordination::admission::Effect;
+use crate::coordination::admission::Ending;
+use crate::coordination::admission::Load;
+use crate::coordination::admission::Ticket;
+use crate::coordination::held::Held;
+use crate::coordination::held::Stage;
+use crate::coordination::pause::PauseGuard;
+use crate::coordination::pause::Woke;
+use crate::coordination::poison::CrashReport;
+use crate::coordination::poison::Suspects;
+use crate::coordination::token::Token;
+use crate::coordination::token::Tokens;
+use crate::error::ErrorKind;
+use crate::error::NotRunKind;
+use crate::error::Outcome;
+use crate::error::UnknownKind;
+use crate::fingerprint::Fingerprint;
+use crate::instance::Incarnation;
+use crate::instance::InstanceName;
+use crate::state::Rank;
+use crate::state::Table;
+use crate::state::calls::ContextId;
+use crate::state::calls::SubCall;
+use crate::timer::Tick;
+
+pub use crate::coordination::arrival::Arrival;
+pub use crate::coordination::arrival::Arrived;
+pub use crate::coordination::arrival::Child;
+pub use crate::coordination::arrival::Finished;
+pub use crate::coordination::arrival::Refusal;
+pub use crate::coordination::arrival::Source;
+
+/// The ingress decisions of one incarnation of an instance. `A` is an answer kept for replay.
+pub struct Gate<A> {
+    pause: Table<PauseGuard>,
+    held: Table<Held>,
+    tokens: Table<Tokens<A>>,
+    suspects: Table<Suspects>,
+    admission: Table<Admission>,
+    draining: std::sync::atomic::AtomicBool,
+    instance: InstanceName,
+    size: fn(&A) -> usize,
+}
+
+impl<A> Gate<A>
+where
+    A: Clone,
+{
+    /// Builds the decisions of an instance. `size` gives the bytes that keeping an answer takes.
+    pub fn new(
+        instance: &InstanceName,
+        incarnation: Incarnation,
+        admission: Admission,
+        size: fn(&A) -> usize,
+    ) -> Gate<A> {
+        let tokens = Tokens::new(instance, incarnation);
+        Gate {
+            pause: Table::new(Rank::Fleet, PauseGuard::new()),
+            held: Table::new(Rank::Calls, Held::default()),
+            tokens: Table::new(Rank::Tokens, tokens),
+            suspects: Table::new(Rank::Suspects, Suspects::new()),
+            admission: Table::new(Rank::Admission, admission),
+            draining: false.into(),
+            instance: instance.clone(),
+            size,
+        }
+    }
+
+    /// Begins the run of a call. Returns the context id that its target gets.
+    pub fn begin<R>(&self, ticket: Ticket, rng: &mut R) -> Option<ContextId>
+    where
+        R: CryptoRng,
+    {
+        let mut held = self.held.lock();
+        let call = held.by_ticket.get(&ticket)?;
+        let (context, deadline) = (call.context.clone(), call.deadline);
+        let id = held.calls.begin(context, deadline, rng).ok()?;
+        held.by_ticket.get_mut(&ticket)?.stage = Stage::Running(id);
+        Some(id)
+    }
+
+    /// Ends a call with the outcome that its caller is told.
+    ///
+    /// The answer is `None` if it is too large to be kept. Idempotent calls that shared a run which
+    /// gave no answer for them, but may still get one, are offered to admission themselves.
+    pub fn finish(
+        &self,
+        ticket: Ticket,
+        outcome: &Outcome<Option<A>>,
+        now: Time,
+        effects: &mut Vec<Effect>,
+    ) -> Finished {
+        let mut held = self.held.lock();
+        let Some(call) = held.by_ticket.remove(&ticket) else {
+            return Finished::default();
+        };
+        let spent = match call.stage {
+            Stage::Running(id) => held.calls.end(now, id).map_or(0, |ended| ended.spent),
+            _ => 0,
+        };
+        let mut sharing = held.followers(ticket, &call);
+        if let Some(token) = &call.token {
+            self.end_token(token, outcome, now);
+        }
+        if matches!(outcome, Outcome::Completed(_)) && call.is_running() {
+            self.suspects.lock().completed(call.fingerprint);
+        }
+        let mut admission = self.admission.lock();
+        admission.finish(ticket, ending(outcome), now, effects);
+        admission.withdraw(ticket, now, effects);
+        if call.context.idempotent && is_own_end(outcome) {
+            let ended = lost(outcome);
+            sharing.retain(|other| match held.reoffer(*other, ended, now) {
+                Some(job) => {
+                    admission.offer(job, now, effects);
+                    false
+                }
+                None => true,
+            });
+        }
+        Finished { spent, sharing }
+    }
+
+    /// Returns what the caller of a call is told that is dropped, or given up by its handler.
+    ///
+    /// A call that shares a run, or did before it was offered by itself, may have been run by it.
+    pub fn dropped(&self, ticket: Ticket, kind: NotRunKind) -> ErrorKind {
+        let held = self.held.lock();
+        match held.by_ticket.get(&ticket) {
+            Some(call) if call.stage == Stage::Following => UnknownKind::Deadline.into(),
+            Some(call) => call.shared.map_or(kind.into(), ErrorKind::from),
+            None => kind.into(),
+        }
+    }
+
+    /// Cancels the calls of a request whose caller stopped waiting.
+    ///
+    /// Queued ones are dropped. Returns those to be stopped, which end as unknown. A running
+    /// non-idempotent call goes on, as its answer is kept for its token.
+    pub fn cancel(&self, request: RequestId, now: Time, effects: &mut Vec<Effect>) -> Vec<Ticket> {
+        let held = self.held.lock();
+        let mut stop = Vec::new();
+        for ticket in held.of_request(request) {
+            let Some(call) = held.by_ticket.get(&ticket) else {
+                continue;
+            };
+            let runs = call.is_running() || call.stage == Stage::Following;
+            if runs && call.context.idempotent {
+                stop.push(ticket);
+            } else if self.admission.lock().withdraw(ticket, now, effects) {
+                effects.push(Effect::Drop(ticket, NotRunKind::Withdrawn));
+            }
+        }
+        stop
+    }
+
+    /// Takes a lease for a sub-call of the running call that `id` names.
+    ///
+    /// # Errors
+    ///
+    /// If no such call is running, or the chain is too deep.
+    pub fn lease(&self, id: ContextId, sub_call: &SubCall, now: Time) -> Result<Child, NotRunKind> {
+        let lease = self.held.lock().calls.lease(now, id, sub_call)?;
+        Ok(Child {
+            lease: Some(lease.id),
+            context: lease.context,
+        })
+    }
+
+    /// Gives back what a sub-call's whole answer shows as unused.
+    pub fn give_back(&self, child: &Child, unused: u32) {
+        if let Some(lease) = child.lease {
+            self.held.lock().calls.give_back(lease, unused);
+        }
+    }
+
+    /// Returns the calls that belong to a request.
+    pub fn calls_of(&self, request: RequestId) -> Vec<Ticket> {
+        self.held.lock().of_request(request)
+    }
+
+    /// Mints an idempotency token for a later call.
+    ///
+    /// # Errors
+    ///
+    /// `Draining`, `NotReady` after a process pause, or `TokensExhausted`.
+    pub fn mint<R>(&self, now: Time, rng: &mut R) -> Result<Token, NotRunKind>
+    where
+        R: CryptoRng,
+    {
+        if self.is_draining() {
+            return Err(NotRunKind::Draining);
+        }
+        if !self.pause.lock().may_mint() {
+            return Err(NotRunKind::NotReady);
+        }
+        self.tokens.lock().mint(now, rng)
+    }
+
+    /// Notes that the target crashed. Returns the reports for the other nodes of the service.
+    pub fn crashed<R>(&self, now: Time, rng: &mut R) -> Vec<CrashReport>
+    where
+        R: CryptoRng,
+    {
+        let running = self.held.lock().crash();
+        let mut suspects = self.suspects.lock();
+        suspects.crash(now, &self.instance, running, rng)
+    }
+
+    /// Takes in another node's report of a crash.
+    pub fn report(&self, now: Time, report: &CrashReport) {
+        self.suspects.lock().report(now, report);
+    }
+
+    /// Returns the requests that are quarantined.
+    pub fn quarantined(&self) -> Vec<Fingerprint> {
+        self.suspects.lock().quarantined()
+    }
+
+    /// Looks for a process pause, before a decision. Returns the wake-up if there was one.
+    pub fn look(&self, now: Time) -> Option<Woke> {
+        self.pause.lock().look(now)
+    }
+
+    /// Runs a function on the guard that tracks which views are fresh after a pause.
+    pub fn with_pause<F, T>(&self, run: F) -> T
+    where
+        F: FnOnce(&mut PauseGuard) -> T,
+    {
+        run(&mut self.pause.lock())
+    }
+
+    /// Runs what is due. Returns the wake-up if the process was paused before.
+    pub fn tick(&self, tick: Tick, effects: &mut Vec<Effect>) -> Option<Woke> {
+        let woke = self.pause.lock().tick(tick);
+        self.admission.lock().tick(tick.now, effects);
+        woke
+    }
+
+    /// Adopts a new number of published slots.
+    pub fn set_slots(&self, slots: u32, now: Time, effects: &mut Vec<Effect>) {
+        self.admission.lock().set_slots(slots, now, effects);
+    }
+
+    /// Takes no new work from now on, for the rest of this incarnation.
+    pub fn drain(&self) {
+        self.draining
+            .store(true, std::sync::atomic::Ordering::SeqCst);
+    }
+
+    /// Returns whether new work is refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(std::sync::atomic::Ordering::SeqCst)
+    }
+
+    /// Returns whether no call is held.
+    pub fn is_idle(&self) -> bool {
+        self.held.lock().by_ticket.is_empty()
+    }
+
+    /// Returns the load.
+    pub fn load(&self) -> Load {
+        self.admission.lock().load()
+    }
+
+    fn end_token(&self, token: &Token, outcome: &Outcome<Option<A>>, now: Time) {
+        let mut tokens = self.tokens.lock();
+        match outcome {
+            Outcome::Completed(Some(answer)) => {
+                tokens.complete(now, token, answer.clone(), (self.size)(answer));
+            }
+            Outcome::Completed(None) => tokens.complete_unkept(now, token),
+            Outcome::NotRun(_) => tokens.burn(now, token),
+            Outcome::Unknown(kind) => tokens.lose(now, token, *kind),
+        }
+    }
+}
+
+/// Returns what a run that gave no answer to share leaves unknown.
+fn lost<A>(outcome: &Outcome<Option<A>>) -> Option<UnknownKind> {
+    match outcome {
+        Outcome::Completed(_) => Some(UnknownKind::AnswerNotKept),
+        Outcome::NotRun(_) => None,
+        Outcome::Unknown(kind) => Some(*kind),
+    }
+}
+
+/// Returns whether a run ended for a reason of its leader's own, that says nothing to its followers.
+fn is_own_end<A>(outcome: &Outcome<Option<A>>) -> bool {
+    match outcome {
+        Outcome::Completed(answer) => answer.is_none(),
+        Outcome::NotRun(kind) => {
+            matches!(kind, NotRunKind::DeadlineInQueue | NotRunKind::Withdrawn)
+        }
+        Outcome::Unknown(kind) => matches!(
+            kind,
+            UnknownKind::Deadline | UnknownKind::Cancelled | UnknownKind::Preempted
+        ),
+    }
+}
+
+fn ending<A>(outcome: &Outcome<Option<A>>) -> Ending {
+    match outcome {
+        Outcome::Completed(_) => Ending::Ok,
+        Outcome::Unknown(
+            UnknownKind::Cancelled | UnknownKind::Deadline | UnknownKind::Preempted,
+        ) => Ending::Cancelled,
+        Outcome::NotRun(_) | Outcome::Unknown(_) => Ending::Failed,
+    }
+}
--- a/src/coordination/join.rs
+++ b/src/coordination/join.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::call::RequestId;
+use crate::coordination::queue::Ticket;
 use crate::fingerprint::Fingerprint;
 
 /// Runs that can be joined at once at most.
@@ -11,10 +12,6 @@
 /// Calls that share one run at most.
 pub const MAX_SHARING: usize = 64;
 
-/// Number of a call at this node, given by the caller of this module.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallNumber(pub u64);
-
 /// What two calls must have in common to share a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RunKey {
@@ -30,7 +27,7 @@
     /// The call runs, and others may share its run.
     Lead,
     /// The call waits for the run of this other call.
-    Follow(CallNumber),
+    Follow(Ticket),
     /// The call runs by itself, as no more can be shared.
     Alone,
 }
@@ -41,15 +38,15 @@
     /// Others wait for the run, it goes on.
     Awaited,
     /// Nobody waits for the run of this call any more.
-    Abandoned(CallNumber),
+    Abandoned(Ticket),
     /// The call took part in no run.
     Absent,
 }
 
 #[derive(Debug)]
 struct Run {
-    leader: CallNumber,
-    waiting: Vec<CallNumber>,
+    leader: Ticket,
+    waiting: Vec<Ticket>,
 }
 
 /// Runs in progress that can be joined.
@@ -64,27 +61,32 @@
         Joins::default()
     }
 
-    /// Enters `call`, which must be idempotent, into the run of `key`.
-    pub fn join(&mut self, key: RunKey, call: CallNumber) -> Join {
-        let room = self.runs.len() < MAX_RUNS;
-        let Some(run) = self.runs.get_mut(&key) else {
-            if !room {
-                return Join::Alone;
-            }
-            let waiting = vec![call];
-            let leader = call;
-            self.runs.insert(key, Run { leader, waiting });
-            return Join::Lead;
-        };
-        if run.waiting.len() >= MAX_SHARING {
+    /// Enters `call` into the run of `key`, or makes it the leader of a new one.
+    pub fn join(&mut self, key: RunKey, call: Ticket) -> Join {
+        if self.runs.contains_key(&key) {
+            return self.follow(key, call).map_or(Join::Alone, Join::Follow);
+        }
+        if self.runs.len() >= MAX_RUNS {
             return Join::Alone;
         }
+        let waiting = vec![call];
+        let leader = call;
+        self.runs.insert(key, Run { leader, waiting });
+        Join::Lead
+    }
+
+    /// Enters `call` into the run of `key` if there is one with room. Returns the leader.
+    pub fn follow(&mut self, key: RunKey, call: Ticket) -> Option<Ticket> {
+        let run = self.runs.get_mut(&key)?;
+        if run.waiting.len() >= MAX_SHARING {
+            return None;
+        }
         run.waiting.push(call);
-        Join::Follow(run.leader)
+        Some(run.leader)
     }
 
     /// Ends the run that `leader` leads, and returns the calls that get its answer, leader included.
-    pub fn finish(&mut self, key: RunKey, leader: CallNumber) -> Vec<CallNumber> {
+    pub fn finish(&mut self, key: RunKey, leader: Ticket) -> Vec<Ticket> {
         let led = self.runs.get(&key).is_some_and(|run| run.leader == leader);
         if !led {
             return Vec::new();
@@ -95,7 +97,7 @@
     /// Notes that the caller of `call` stopped waiting.
     ///
     /// The run of a leader goes on as long as a follower waits for it.
-    pub fn leave(&mut self, key: RunKey, call: CallNumber) -> Leave {
+    pub fn leave(&mut self, key: RunKey, call: Ticket) -> Leave {
         let Some(run) = self.runs.get_mut(&key) else {
             return Leave::Absent;
         };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,14 +3,19 @@
 
 pub mod admission;
 pub mod admission_config;
+pub mod arrival;
+pub mod attempts;
 pub mod budget;
 pub mod config;
+pub mod control;
 pub mod dispatch;
+pub mod document;
 pub mod draw;
 pub mod ejection;
 pub mod gate;
 pub mod gossip;
 pub mod group;
+pub mod held;
 pub mod join;
 pub mod level;
 pub mod level_view;
--- a/src/coordination/token.rs
+++ b/src/coordination/token.rs
@@ -49,6 +49,11 @@
         self.instance == name_hash(instance)
     }
 
+    /// Returns a number that no other token of the same incarnation has.
+    pub fn number(&self) -> u128 {
+        u128::from(self.sequence) << 64 | u128::from(self.secret)
+    }
+
     /// Returns the incarnation that minted the token.
     pub fn incarnation(&self) -> Incarnation {
         self.incarnation
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -263,8 +263,12 @@
         true => "a section such as [instance] before it".to_owned(),
         false => names.join(", "),
     };
+    let section_name = match section.is_empty() {
+        true => "no section",
+        false => section,
+    };
     SettingsErrorKind::UnknownKey {
-        section: section.to_owned(),
+        section: section_name.to_owned(),
         key: excerpt(name),
         found: redacted(section, found),
         allowed,
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -29,12 +29,13 @@
 use crate::instance::ServiceName;
 use crate::node::Node;
 use crate::protocol::header;
+use crate::state::calls::SubCall;
 use crate::transport::body::AnswerBody;
 use crate::transport::body::RequestBody;
 use crate::transport::forward;
 use crate::transport::forward::Answer;
 use crate::transport::head::Head;
-use crate::transport::ingress;
+use crate::transport::outgoing;
 use crate::transport::reply;
 use crate::transport::reply::Connection;
 use crate::transport::told;
@@ -93,7 +94,10 @@
     let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
     let treatment = Treatment::new(rule, head.method.as_str());
     let child = child_of(node, &head, &treatment).map_err(refusal)?;
-    let RequestBody::Held(body) = ingress::read_body(node, &head, data).await? else {
+    let RequestBody::Held(body) = outgoing::read_body(node, &head, data)
+        .await
+        .map_err(refusal)?
+    else {
         node.gate.give_back(&child, child.context.spare);
         return Err(refusal(NotRunKind::BodyTooLarge));
     };
@@ -145,17 +149,16 @@
         let mut context = treatment.root(node.new_request_id(), None, true);
         context.priority = Priority::Background;
         return Ok(Child {
-            parent: None,
+            lease: None,
             context,
         });
     };
-    let id = u128::from_str_radix(text, 16).map_err(|_| NotRunKind::ContextUnknown)?;
-    node.gate.lease(
-        id,
-        treatment.idempotent,
-        treatment.timeout,
-        node.clock.now(),
-    )
+    let sub_call = SubCall {
+        idempotent: treatment.idempotent,
+        timeout: treatment.timeout,
+        want: treatment.spare,
+    };
+    node.gate.lease(text.parse()?, &sub_call, node.clock.now())
 }
 
 /// Sends a call, with as many attempts as its context allows.
@@ -254,7 +257,7 @@
         .request(out.method.clone(), url)
         .headers(out.headers.clone())
         .header(header::HOP, node.sign_hop(&attempt));
-    let req = ingress::held_body(req, out.body);
+    let req = outgoing::held_body(req, out.body);
     let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
     let outcome = match tokio::time::timeout(attempt.context.remaining, sending).await {
         Ok(outcome) => outcome,
