--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod coordination;
 pub mod demo;
 pub mod error;
+pub mod fetch;
 pub mod fingerprint;
 pub mod instance;
 pub mod logs;
@@ -24,6 +25,7 @@
 pub mod standin;
 pub mod state;
 pub mod status;
+pub mod table;
 pub mod timer;
 pub mod transport;
 
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -18,12 +18,10 @@
 use strum::Display;
 use strum::IntoEnumIterator;
 
-use crate::call::COHORTS;
 use crate::call::Priority;
 use crate::error::ErrorKind;
 use crate::instance::RegionName;
 use crate::instance::ServiceName;
-use crate::status::LevelStatus;
 use crate::status::ServiceStatus;
 use crate::status::Status;
 
@@ -215,7 +213,7 @@
         self.set(Metric::InFlight, &[], admission.in_flight.into());
         self.set(Metric::Limit, &[], admission.limit.into());
         self.set(Metric::Queued, &[], admission.queued.into());
-        self.set(Metric::Level, &[], rank(&admission.level));
+        self.set(Metric::Level, &[], admission.level.rank().into());
         self.set(Metric::Tokens, &[], status.tokens as i64);
         self.set(Metric::Suspected, &[], status.poison.suspected as i64);
         self.set(Metric::Quarantined, &[], status.poison.quarantined as i64);
@@ -241,7 +239,11 @@
         }
         for status in services {
             let service = self.services.label(&status.service);
-            self.set(Metric::ServiceLevel, &[&service], rank(&status.level));
+            self.set(
+                Metric::ServiceLevel,
+                &[&service],
+                status.level.rank().into(),
+            );
             let states = [
                 ("all", status.targets),
                 ("ejected", status.ejected),
@@ -313,7 +315,3 @@
         ErrorKind::Unknown(kind) => kind.to_string(),
     }
 }
-
-fn rank(level: &LevelStatus) -> i64 {
-    level.priority as i64 * i64::from(COHORTS) + i64::from(level.cohort.0)
-}
--- a/src/report.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Service-level burn from the metrics of live nodes.
--- /dev/null
+++ b/src/status/glance.rs
@@ -0,0 +1,175 @@
+//! The state of a fleet at a glance.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+use crate::fetch::Fetched;
+use crate::instance::ServiceName;
+use crate::status::LevelStatus;
+use crate::status::Status;
+use crate::table::Align;
+use crate::table::TextTable;
+use crate::table::count;
+
+/// Most names that one line lists.
+const MAX_NAMES: usize = 8;
+
+/// Age of a configuration that is worth a line, in seconds.
+const STALE_CONFIG_S: u64 = 60;
+
+/// The state of a fleet, to be printed.
+#[derive(Clone, Copy, Debug)]
+pub struct Glance<'a>(pub &'a Fetched);
+
+impl fmt::Display for Glance<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let nodes = &self.0.nodes;
+        let domains: BTreeSet<_> = nodes.iter().map(|n| &n.domain).collect();
+        let counted = count(nodes.len(), "node");
+        write!(f, "{counted} in {}", count(domains.len(), "failure domain"))?;
+        match self.0.unread.len() {
+            0 => writeln!(f, "; all answered")?,
+            n => writeln!(f, "; {n} did not answer")?,
+        }
+        self.revisions(f)?;
+        for note in NOTES {
+            let concerned = nodes.iter().filter(|n| (note.applies)(n));
+            write_note(f, note.title, concerned)?;
+        }
+        for unread in &self.0.unread {
+            writeln!(f, "not read: {}: {}", unread.url, unread.reason)?;
+        }
+        writeln!(f)?;
+        write!(f, "{}", services(nodes))
+    }
+}
+
+/// A line about nodes that are not as usual.
+struct Note {
+    title: &'static str,
+    applies: fn(&Status) -> bool,
+}
+
+const NOTES: [Note; 7] = [
+    Note {
+        title: "draining",
+        applies: |n| n.draining,
+    },
+    Note {
+        title: "not ready",
+        applies: |n| !n.ready,
+    },
+    Note {
+        title: "newer revision rejected",
+        applies: |n| n.config.rejected.is_some(),
+    },
+    Note {
+        title: "configuration not confirmed for a minute",
+        applies: |n| n.config.age_s >= STALE_CONFIG_S,
+    },
+    Note {
+        title: "shedding",
+        applies: |n| n.admission.level.sheds(),
+    },
+    Note {
+        title: "quarantined requests",
+        applies: |n| n.poison.quarantined > 0,
+    },
+    Note {
+        title: "ejecting instances",
+        applies: |n| n.services.iter().any(|s| s.ejected > 0),
+    },
+];
+
+impl Glance<'_> {
+    fn revisions(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut by_revision: BTreeMap<u64, Vec<&Status>> = BTreeMap::new();
+        for node in &self.0.nodes {
+            by_revision
+                .entry(node.config.revision)
+                .or_default()
+                .push(node);
+        }
+        let newest = by_revision.keys().next_back().copied();
+        for (revision, nodes) in by_revision.iter().rev() {
+            write!(f, "revision {revision}: {}", count(nodes.len(), "node"))?;
+            match Some(*revision) == newest {
+                true => writeln!(f)?,
+                false => writeln!(f, ": {}", names(nodes.iter().copied()))?,
+            }
+        }
+        Ok(())
+    }
+}
+
+fn write_note<'a, I>(f: &mut fmt::Formatter<'_>, title: &str, nodes: I) -> fmt::Result
+where
+    I: Iterator<Item = &'a Status>,
+{
+    let nodes: Vec<&Status> = nodes.collect();
+    if nodes.is_empty() {
+        return Ok(());
+    }
+    let list = names(nodes.iter().copied());
+    writeln!(f, "{title}: {}: {list}", count(nodes.len(), "node"))
+}
+
+fn names<'a, I>(nodes: I) -> String
+where
+    I: ExactSizeIterator<Item = &'a Status>,
+{
+    let more = nodes.len().saturating_sub(MAX_NAMES);
+    let mut names: Vec<String> = nodes
+        .take(MAX_NAMES)
+        .map(|node| node.instance.to_string())
+        .collect();
+    if more > 0 {
+        names.push(format!("and {more} more"));
+    }
+    names.join(", ")
+}
+
+fn services(nodes: &[Status]) -> TextTable {
+    let mut table = TextTable::new(&[
+        ("service", Align::Left),
+        ("nodes", Align::Right),
+        ("draining", Align::Right),
+        ("limit", Align::Right),
+        ("running", Align::Right),
+        ("queued", Align::Right),
+        ("strictest level", Align::Left),
+        ("quarantined", Align::Right),
+        ("tokens", Align::Right),
+    ]);
+    let mut by_service: BTreeMap<&ServiceName, Vec<&Status>> = BTreeMap::new();
+    for node in nodes {
+        by_service.entry(&node.service).or_default().push(node);
+    }
+    for (service, nodes) in by_service {
+        let sum = |pick: fn(&Status) -> u64| -> String {
+            nodes.iter().map(|n| pick(n)).sum::<u64>().to_string()
+        };
+        let levels = nodes.iter().map(|n| n.admission.level);
+        let strictest = levels.min_by_key(LevelStatus::rank);
+        table.row(vec![
+            service.to_string(),
+            nodes.len().to_string(),
+            sum(|n| n.draining.into()),
+            sum(|n| n.admission.limit.into()),
+            sum(|n| n.admission.in_flight.into()),
+            sum(|n| n.admission.queued.into()),
+            strictest.map_or_else(String::new, level),
+            sum(|n| n.poison.quarantined),
+            sum(|n| n.tokens),
+        ]);
+    }
+    table
+}
+
+fn level(level: LevelStatus) -> String {
+    match level.sheds() {
+        true => level.to_string(),
+        false => "open".to_owned(),
+    }
+}
--- a/src/status.rs
+++ b/src/status/mod.rs
@@ -1,8 +1,13 @@
 //! What a node tells an operator about itself.
 
+pub mod glance;
+
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call::COHORTS;
 use crate::call::Cohort;
 use crate::call::Priority;
 use crate::instance::DomainName;
@@ -91,6 +96,30 @@
     pub cohort: Cohort,
 }
 
+impl LevelStatus {
+    /// Lets everything in.
+    pub const OPEN: LevelStatus = LevelStatus {
+        priority: Priority::Background,
+        cohort: Cohort(COHORTS - 1),
+    };
+
+    /// Returns the position of the level among all, where more is let in at a higher one.
+    pub fn rank(&self) -> u16 {
+        self.priority as u16 * COHORTS + self.cohort.0
+    }
+
+    /// Returns whether something is shed.
+    pub fn sheds(&self) -> bool {
+        self.rank() < LevelStatus::OPEN.rank()
+    }
+}
+
+impl fmt::Display for LevelStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.priority, self.cohort.0)
+    }
+}
+
 /// A service that the target calls.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceStatus {
