--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod policy;
 pub mod protocol;
 pub mod report;
+pub mod running;
 pub mod settings;
 pub mod standin;
 pub mod state;
@@ -28,6 +29,7 @@
 pub mod table;
 pub mod timer;
 pub mod transport;
+pub mod waiters;
 
 pub use call::CallContext;
 pub use call::Priority;
