Decide the attempts of a call: lease, reroute, second attempt, early shedding

Cause: the thin dispatcher drew any instance and gave all spare attempts to the first attempt, so that a lost answer ended every retry.

A second attempt starts for idempotent calls alone, after twice the usual latency or four mean deviations above it. An instance that cannot be reached does not rule out the others.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -1,48 +1,75 @@
 //! Egress decisions: attempts, retries and rerouting of a call.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::Rng;
-use rand::RngExt;
 
-use crate::call::CallContext;
 use crate::clock::Time;
+use crate::coordination::budget::RetryAllowance;
+use crate::coordination::level::Level;
+use crate::coordination::level::LevelReport;
+use crate::coordination::level::LevelView;
+use crate::coordination::link::LinkConfig;
+use crate::coordination::routing::Choice;
+use crate::coordination::routing::Home;
+use crate::coordination::routing::Pick;
+use crate::coordination::routing::Router;
+use crate::coordination::routing::RoutingConfig;
+use crate::coordination::routing::Want;
+use crate::coordination::target::Observation;
+use crate::coordination::target::Verdict;
+use crate::coordination::verdict;
 use crate::error::ErrorKind;
 use crate::error::NotRunKind;
+use crate::instance::Incarnation;
 use crate::instance::Instance;
 use crate::instance::InstanceName;
-use crate::instance::InstanceState;
+use crate::instance::RegionName;
 use crate::instance::ServiceName;
 use crate::state::Rank;
 use crate::state::Table;
 
-/// A call that is sent to a service.
-#[derive(Clone, Debug)]
-pub struct Call<'a> {
-    /// Service that is called.
-    pub service: &'a ServiceName,
-    /// Context of the call, with the spare attempts that it may use.
-    pub context: &'a CallContext,
-    /// Whether it may leave its region.
-    pub cross_region: bool,
-    /// Instance that must not be used, because it refused the call already.
-    pub not_to: Option<&'a InstanceName>,
+pub use crate::coordination::plan::Attempt;
+pub use crate::coordination::plan::Call;
+pub use crate::coordination::plan::DeniedReason;
+pub use crate::coordination::plan::Plan;
+pub use crate::coordination::plan::RetryReason;
+
+/// Shortest time after which a second attempt starts beside the first.
+pub const MIN_PATIENCE: Duration = Duration::from_millis(10);
+
+/// Largest load that an answer may tell, in percent.
+const MAX_LOAD_PERCENT: u16 = 1_000;
+
+/// Settings of the egress decisions. Each mechanism can be switched off for a comparison.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DispatchConfig {
+    /// Routing.
+    pub routing: RoutingConfig,
+    /// Whether calls that a service would not let in are shed before they are sent.
+    pub shed_early: bool,
+    /// Whether a second attempt of an idempotent call starts beside a slow one.
+    pub second_attempt: bool,
+    /// Whether the retries that a service sees are bounded by its successes.
+    pub allowance: bool,
+    /// Extra attempts of each hop, in place of the budget of the request.
+    pub extra_per_hop: Option<u32>,
 }
 
-/// One attempt at a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Attempt {
-    /// Number of the attempt within the call, from 0.
-    pub number: u32,
-    /// Instance that it goes to.
-    pub to: Instance,
-    /// Context that goes with it.
-    pub context: CallContext,
+impl Default for DispatchConfig {
+    fn default() -> DispatchConfig {
+        DispatchConfig {
+            routing: RoutingConfig::default(),
+            shed_early: true,
+            second_attempt: true,
+            allowance: true,
+            extra_per_hop: None,
+        }
+    }
 }
 
 /// What to do next about a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Step {
     /// Send this attempt.
     Send(Box<Attempt>),
@@ -63,60 +90,64 @@
     pub level: Option<&'a str>,
     /// Time from sending to the end.
     pub took: Duration,
-    /// Size of the request and answer, in bytes.
+    /// Size of the request and answer, in bytes; 0 if it is not known.
     pub bytes: u64,
 }
 
-/// The attempts of one call.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    service: ServiceName,
-    context: CallContext,
-    tried: Vec<InstanceName>,
-    deadline: Time,
-    used: u32,
-    open: u32,
-    last: Option<ErrorKind>,
-}
-
-impl Plan {
-    /// Returns the spare attempts that the call and everything below it used.
-    pub fn used(&self) -> u32 {
-        self.used
-    }
+struct Tables {
+    router: Router,
+    levels: LevelView,
+    allowance: RetryAllowance,
 }
 
 /// The egress decisions of one node.
 pub struct Dispatcher {
-    services: Table<HashMap<ServiceName, Vec<Instance>>>,
+    cfg: DispatchConfig,
+    tables: Table<Tables>,
 }
 
 impl Dispatcher {
-    /// Builds the decisions of the node of `own`.
-    pub fn new() -> Dispatcher {
+    /// Builds the decisions of the node that stands at `home`.
+    pub fn new(home: Home, cfg: DispatchConfig, now: Time) -> Dispatcher {
+        let tables = Tables {
+            router: Router::new(home, cfg.routing.clone(), now),
+            levels: LevelView::new(),
+            allowance: RetryAllowance::new(),
+        };
         Dispatcher {
-            services: Table::new(Rank::Routing, HashMap::new()),
+            cfg,
+            tables: Table::new(Rank::Routing, tables),
         }
     }
 
-    /// Takes over the instances of a service.
-    pub fn sync(&self, service: &ServiceName, instances: &[Instance], _now: Time) {
-        self.services
-            .lock()
-            .insert(service.clone(), instances.to_vec());
+    /// Takes over the published list; instances that are not in it are forgotten.
+    pub fn sync(&self, instances: &[Instance], now: Time) {
+        self.tables.lock().router.sync(instances, now);
+    }
+
+    /// Sets the byte budget of the link to `region`.
+    pub fn set_link(&self, region: &RegionName, cfg: LinkConfig, now: Time) {
+        self.tables.lock().router.set_link(region, cfg, now);
+    }
+
+    /// Notes the incarnation of an instance and whether it is leaving, as told by a peer.
+    pub fn told(
+        &self,
+        service: &ServiceName,
+        instance: &InstanceName,
+        incarnation: Incarnation,
+        draining: bool,
+        now: Time,
+    ) {
+        let mut tables = self.tables.lock();
+        let router = &mut tables.router;
+        router.told(service, instance, incarnation, draining, now);
     }
 
     /// Begins a call.
     pub fn begin(&self, call: &Call<'_>, now: Time) -> Plan {
-        Plan {
-            service: call.service.clone(),
-            context: call.context.clone(),
-            tried: call.not_to.into_iter().cloned().collect(),
-            deadline: now.plus(call.context.remaining),
-            used: 0,
-            open: 0,
-            last: None,
-        }
+        let spare = self.cfg.extra_per_hop.unwrap_or(call.context.spare);
+        Plan::new(call, spare, now)
     }
 
     /// Decides what to do next.
@@ -124,59 +155,177 @@
     where
         R: Rng,
     {
-        if plan.open > 0 {
+        let mut tables = self.tables.lock();
+        if plan.is_open() {
+            return self.step_beside(&mut tables, plan, now, rng);
+        }
+        if plan.is_over(now) {
+            return Step::Fail(plan.failure());
+        }
+        if plan.is_begun() {
+            return self.step_again(&mut tables, plan, now, rng);
+        }
+        if self.cfg.shed_early && !tables.lets_in(plan, now, rng) {
+            return Step::Fail(NotRunKind::Shed.into());
+        }
+        match tables.choose(plan, now, rng) {
+            Ok(pick) => self.send(&mut tables, plan, pick, now),
+            Err(kind) => Step::Fail(kind.into()),
+        }
+    }
+
+    /// Takes note of how an attempt ended.
+    pub fn ended(&self, plan: &mut Plan, attempt: &Attempt, report: &Report<'_>, now: Time) {
+        if !plan.close(attempt.number, report.result, report.spent) {
+            return;
+        }
+        let service = plan.service();
+        let mut tables = self.tables.lock();
+        let told = report.level.and_then(|text| text.parse().ok());
+        if let Some(LevelReport { level, .. }) = told {
+            tables.levels.observe(service, level, now);
+        }
+        let seen = observation(report, told);
+        if seen.verdict == Verdict::Worked {
+            tables.allowance.success(service);
+        }
+        tables.router.answered(&attempt.pick, &seen, now);
+    }
+
+    /// Takes note that the attempts of a call that are still open are withdrawn.
+    ///
+    /// Returns the instances that they went to, which are to be told.
+    pub fn abandon(&self, plan: &mut Plan, now: Time) -> Vec<Instance> {
+        let mut tables = self.tables.lock();
+        let seen = Observation::of(Verdict::Abandoned, Duration::ZERO);
+        plan.abandon()
+            .map(|pick| {
+                tables.router.answered(&pick, &seen, now);
+                pick.to
+            })
+            .collect()
+    }
+
+    /// Returns the strictest admission level of all services that are called.
+    pub fn worst_level(&self, now: Time) -> Level {
+        self.tables.lock().levels.worst(now)
+    }
+
+    /// Calls `read` with the router and the admission levels, for status and metrics.
+    pub fn view<F, T>(&self, read: F) -> T
+    where
+        F: FnOnce(&Router, &LevelView) -> T,
+    {
+        let tables = self.tables.lock();
+        read(&tables.router, &tables.levels)
+    }
+
+    /// Decides whether a second attempt starts beside an open one.
+    fn step_beside<R>(&self, tables: &mut Tables, plan: &mut Plan, now: Time, rng: &mut R) -> Step
+    where
+        R: Rng,
+    {
+        let Some(until) = plan.patient_until().filter(|_| self.cfg.second_attempt) else {
             return Step::Wait(None);
+        };
+        if now < until {
+            return Step::Wait(Some(until));
         }
-        let number = plan.tried.len() as u32;
-        if let Some(last) = plan.last {
-            let again = plan.context.idempotent || matches!(last, ErrorKind::NotRun(_));
-            if !again || plan.used >= plan.context.spare {
-                return Step::Fail(last);
-            }
-            plan.used += 1;
-        }
-        let services = self.services.lock();
-        let Some(instances) = services.get(&plan.service) else {
-            return Step::Fail(NotRunKind::NoSuchService.into());
+        if plan.is_over(now) {
+            return Step::Wait(None);
+        }
+        let Ok(pick) = tables.choose(plan, now, rng) else {
+            plan.deny(DeniedReason::Instance);
+            return Step::Wait(None);
         };
-        let free: Vec<&Instance> = instances
-            .iter()
-            .filter(|i| i.state == InstanceState::Live && !plan.tried.contains(&i.name))
-            .collect();
-        if free.is_empty() {
-            return Step::Fail(plan.last.unwrap_or(NotRunKind::NoInstance.into()));
-        }
-        let to = free[rng.random_range(0..free.len())].clone();
-        plan.tried.push(to.name.clone());
-        plan.open += 1;
-        let left = plan.context.spare - plan.used;
-        plan.used += left;
-        let context = CallContext {
-            remaining: plan.deadline.since(now),
-            spare: left,
-            ..plan.context.clone()
+        if !self.allows_retry(tables, plan) {
+            plan.deny(DeniedReason::Allowance);
+            return Step::Wait(None);
+        }
+        self.send(tables, plan, pick, now)
+    }
+
+    /// Decides whether another attempt follows one that failed.
+    fn step_again<R>(&self, tables: &mut Tables, plan: &mut Plan, now: Time, rng: &mut R) -> Step
+    where
+        R: Rng,
+    {
+        let failure = Step::Fail(plan.failure());
+        if !plan.may_follow() {
+            return failure;
+        }
+        if plan.left() == 0 {
+            plan.deny(DeniedReason::Budget);
+            return failure;
+        }
+        let Ok(pick) = tables.choose(plan, now, rng) else {
+            plan.deny(DeniedReason::Instance);
+            return failure;
         };
-        Step::Send(Box::new(Attempt {
-            number,
-            to,
-            context,
-        }))
+        if !self.allows_retry(tables, plan) {
+            plan.deny(DeniedReason::Allowance);
+            return failure;
+        }
+        self.send(tables, plan, pick, now)
     }
 
-    /// Takes note of how an attempt ended.
-    pub fn ended(&self, plan: &mut Plan, attempt: &Attempt, report: &Report<'_>, _now: Time) {
-        plan.open -= 1;
-        let spent = report
-            .spent
-            .unwrap_or(attempt.context.spare)
-            .min(attempt.context.spare);
-        plan.used -= attempt.context.spare - spent;
-        plan.last = report.result.err();
+    /// A non-idempotent call that was not run tries other instances whatever the allowance.
+    fn allows_retry(&self, tables: &mut Tables, plan: &Plan) -> bool {
+        let exempt = !self.cfg.allowance || !plan.context().idempotent;
+        exempt || tables.allowance.take(plan.service())
+    }
+
+    fn send(&self, tables: &mut Tables, plan: &mut Plan, pick: Pick, now: Time) -> Step {
+        let usual = tables.router.usual_longest(plan.service());
+        let patience = usual.map_or(Duration::MAX, |usual| usual.max(MIN_PATIENCE));
+        let alone = self.cfg.extra_per_hop.is_some();
+        tables.router.sent(&pick, now);
+        Step::Send(Box::new(plan.open(pick, patience, alone, now)))
+    }
+}
+
+impl Tables {
+    fn lets_in<R>(&self, plan: &Plan, now: Time, rng: &mut R) -> bool
+    where
+        R: Rng,
+    {
+        let context = plan.context();
+        let (priority, cohort) = (context.priority, context.cohort());
+        let levels = &self.levels;
+        levels.admits(plan.service(), priority, cohort, now, rng)
+    }
+
+    fn choose<R>(&mut self, plan: &Plan, now: Time, rng: &mut R) -> Result<Pick, NotRunKind>
+    where
+        R: Rng,
+    {
+        if !self.router.knows(plan.service()) {
+            return Err(NotRunKind::NoSuchService);
+        }
+        let want = Want {
+            service: plan.service(),
+            priority: plan.context().priority,
+            idempotent: plan.context().idempotent,
+            cross_region: plan.cross_region(),
+            tried: plan.tried(),
+            fresh_only: plan.is_fresh_only(),
+        };
+        match self.router.choose(&want, now, rng) {
+            Choice::Send(pick) => Ok(pick),
+            Choice::None(kind) => Err(kind),
+        }
     }
 }
 
-impl Default for Dispatcher {
-    fn default() -> Dispatcher {
-        Dispatcher::new()
+fn observation(report: &Report<'_>, told: Option<LevelReport>) -> Observation {
+    let load = told.map(|told| f64::from(told.load_percent.min(MAX_LOAD_PERCENT)) / 100.0);
+    let draining = report.result == Err(NotRunKind::Draining.into());
+    Observation {
+        verdict: verdict::of(report.result),
+        latency: report.took,
+        load,
+        incarnation: None,
+        draining,
+        bytes: report.bytes,
     }
 }
--- a/src/coordination/draw.rs
+++ b/src/coordination/draw.rs
@@ -21,8 +21,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
 enum Step {
     Fresh,
+    FreshEjected,
     Tried,
-    Ejected,
+    TriedEjected,
+}
+
+impl Step {
+    fn takes_ejected(self) -> bool {
+        matches!(self, Step::FreshEjected | Step::TriedEjected)
+    }
+
+    fn takes_tried(self) -> bool {
+        matches!(self, Step::Tried | Step::TriedEjected)
+    }
 }
 
 /// The circumstances of one choice.
@@ -43,7 +54,8 @@
     where
         R: Rng,
     {
-        Step::iter().find_map(|step| self.nearest(group, step, rng))
+        let mut steps = Step::iter().filter(|step| self.allows(*step));
+        steps.find_map(|step| self.nearest(group, step, rng))
     }
 
     /// Returns what a call to `target` costs of the byte budget of the link to its region; none
@@ -66,6 +78,10 @@
         }
     }
 
+    fn allows(&self, step: Step) -> bool {
+        !(self.want.fresh_only && step.takes_tried())
+    }
+
     /// Draws from the nearest place that is not busy, or if all are, from the nearest.
     fn nearest<R>(&self, group: &mut Group, step: Step, rng: &mut R) -> Option<usize>
     where
@@ -96,11 +112,11 @@
             return false;
         }
         let access = target.health.access(self.want.idempotent, self.now);
-        if access == Access::Closed && step != Step::Ejected {
+        if access == Access::Closed && !step.takes_ejected() {
             return false;
         }
         let untried = || !self.want.tried.contains(&target.instance.name);
-        step != Step::Fresh || self.cfg.repeat_tried || untried()
+        step.takes_tried() || self.cfg.repeat_tried || untried()
     }
 
     fn draw<F, R>(&self, group: &mut Group, usable: F, rng: &mut R) -> Option<usize>
--- a/src/coordination/group.rs
+++ b/src/coordination/group.rs
@@ -1,5 +1,7 @@
 //! What a node keeps of the instances of one service.
 
+use std::time::Duration;
+
 use crate::coordination::ejection::EjectionConfig;
 use crate::coordination::ejection::most_ejected;
 use crate::coordination::target::TargetState;
@@ -8,6 +10,12 @@
 /// Weight of the latest answer in the usual latency of a service.
 const USUAL_WEIGHT: f64 = 0.05;
 
+/// Weight of the latest answer in the mean deviation from the usual latency.
+const DEVIATION_WEIGHT: f64 = 0.1;
+
+/// Mean deviations above the usual latency within which nearly all answers arrive.
+const DEVIATIONS: f64 = 4.0;
+
 /// The targets of one service, sorted by name.
 #[derive(Debug, Default)]
 pub struct Group {
@@ -16,6 +24,7 @@
     /// Number of draws made in turn.
     pub turn: usize,
     usual_us: Option<f64>,
+    deviation_us: f64,
 }
 
 impl Group {
@@ -33,10 +42,25 @@
         self.usual_us
     }
 
-    /// Notes the observed latency of a target that has just answered.
-    pub fn note_latency(&mut self, latency_us: f64) {
-        let usual = self.usual_us.get_or_insert(latency_us);
-        *usual += USUAL_WEIGHT * (latency_us - *usual);
+    /// Returns the time within which nearly all answers arrive, if any has; never less than twice
+    /// the usual one.
+    pub fn usual_longest(&self) -> Option<Duration> {
+        let usual_us = self.usual_us?;
+        let longest_us = usual_us + usual_us.max(DEVIATIONS * self.deviation_us);
+        Some(Duration::from_micros(longest_us as u64))
+    }
+
+    /// Notes the latency of an answer.
+    pub fn note_latency(&mut self, latency: Duration) {
+        let sample = latency.as_micros() as f64;
+        let Some(usual) = &mut self.usual_us else {
+            self.usual_us = Some(sample);
+            self.deviation_us = sample / 2.0;
+            return;
+        };
+        let off = sample - *usual;
+        *usual += USUAL_WEIGHT * off;
+        self.deviation_us += DEVIATION_WEIGHT * (off.abs() - self.deviation_us);
     }
 
     /// Takes over another list of targets, sorted by name.
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -6,7 +6,7 @@
 //! are used only if the rule allows it and while the byte budget of the link lasts.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::time::Duration;
 
 use rand::Rng;
 use strum::Display;
@@ -25,6 +25,7 @@
 use crate::coordination::subset::SubsetConfig;
 use crate::coordination::target::Observation;
 use crate::coordination::target::TargetState;
+use crate::coordination::target::Verdict;
 use crate::error::NotRunKind;
 use crate::instance::DomainName;
 use crate::instance::Incarnation;
@@ -105,6 +106,8 @@
     pub cross_region: bool,
     /// Instances that this call was sent to already.
     pub tried: &'a [InstanceName],
+    /// Whether these must not be chosen again, even if no others remain.
+    pub fresh_only: bool,
 }
 
 impl Want<'_> {
@@ -117,12 +120,8 @@
 /// The instance that an attempt goes to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pick {
-    /// Service of the instance.
-    pub service: ServiceName,
     /// The instance.
-    pub instance: InstanceName,
-    /// Address of its node's ingress port.
-    pub ingress: SocketAddr,
+    pub to: Instance,
     /// Its distance.
     pub place: Place,
     /// What the attempt costs of a link's byte budget.
@@ -214,9 +213,7 @@
         };
         let target = &group.targets[i];
         Choice::Send(Pick {
-            service: want.service.clone(),
-            instance: target.instance.name.clone(),
-            ingress: target.instance.ingress,
+            to: target.instance.clone(),
             place: target.place,
             toll: draw.toll(target),
         })
@@ -227,7 +224,7 @@
         if let Some(toll) = &pick.toll {
             self.links.charge(toll, now);
         }
-        if let Some(target) = self.target(&pick.service, &pick.instance) {
+        if let Some(target) = self.target(&pick.to.service, &pick.to.name) {
             target.score.sent();
             target.health.sent();
         }
@@ -238,24 +235,34 @@
         if let Some(toll) = &pick.toll {
             self.links.settle(toll, seen.bytes, now);
         }
-        let Some(group) = self.groups.get_mut(&pick.service) else {
+        let Some(group) = self.groups.get_mut(&pick.to.service) else {
             return;
         };
         let room = group.has_room(&self.cfg.ejection);
-        let Some(target) = group.find(&pick.instance) else {
+        let Some(target) = group.find(&pick.to.name) else {
             return;
         };
         let eject = target.answered(seen, now, &self.cfg.score, &self.cfg.ejection);
         if eject && (room || target.health.is_ejected()) {
-            let jitter = jitter(&self.home.instance, &pick.instance);
+            let jitter = jitter(&self.home.instance, &pick.to.name);
             target.health.eject(jitter, now, &self.cfg.ejection);
             self.ejections += 1;
         }
-        if let Some(latency_us) = target.score.latency_us() {
-            group.note_latency(latency_us);
+        if seen.verdict == Verdict::Worked {
+            group.note_latency(seen.latency);
         }
     }
 
+    /// Returns the time within which nearly all answers of a service arrive, if any has.
+    pub fn usual_longest(&self, service: &ServiceName) -> Option<Duration> {
+        self.groups.get(service)?.usual_longest()
+    }
+
+    /// Returns whether any instance of a service is known.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        self.groups.contains_key(service)
+    }
+
     /// Notes health as reported by somebody else, a hint that own observation overrides.
     pub fn reported(
         &mut self,
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -19,6 +19,8 @@
 use strum::IntoEnumIterator;
 
 use crate::call::Priority;
+use crate::coordination::dispatch::DeniedReason;
+use crate::coordination::dispatch::RetryReason;
 use crate::error::ErrorKind;
 use crate::instance::RegionName;
 use crate::instance::ServiceName;
@@ -51,28 +53,6 @@
     Egress,
 }
 
-/// Why an attempt was made beyond the first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[strum(serialize_all = "kebab-case")]
-pub enum RetryReason {
-    /// The one before was not run.
-    NotRun,
-    /// It is not known whether the one before was run.
-    Unknown,
-    /// The one before has not answered yet.
-    Slow,
-}
-
-/// Why an attempt was not made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[strum(serialize_all = "kebab-case")]
-pub enum DeniedReason {
-    /// The request has no spare attempt left.
-    Budget,
-    /// The service has no retry allowance left.
-    Allowance,
-}
-
 /// Direction of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "lowercase")]
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,5 @@
 //! A node: its tables and what its ports share.
 
-use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,10 +18,12 @@
 use crate::clock::Clock;
 use crate::coordination::admission::Ticket;
 use crate::coordination::dispatch::Attempt;
+use crate::coordination::dispatch::DispatchConfig;
 use crate::coordination::dispatch::Dispatcher;
 use crate::coordination::dispatch::Plan;
 use crate::coordination::dispatch::Step;
 use crate::coordination::gate::Gate;
+use crate::coordination::routing::Home;
 use crate::error::Outcome;
 use crate::instance::Incarnation;
 use crate::instance::Instance;
@@ -90,11 +91,16 @@
             .iter()
             .find(|s| s.service == service)
             .map_or(16, |s| s.slots);
+        let home = Home {
+            instance: settings.instance.name.clone(),
+            domain: settings.instance.domain.clone(),
+            region: settings.instance.region.clone(),
+        };
         Ok(Node {
             name: settings.instance.name.clone(),
             service,
             gate: Gate::new(slots, clock.now()),
-            dispatcher: Dispatcher::new(),
+            dispatcher: Dispatcher::new(home, DispatchConfig::default(), clock.now()),
             client: forward::client()?,
             keyring: Keyring::new(&settings.keys.current, settings.keys.previous.as_deref()),
             incarnation: Incarnation(rng.next_u64()),
@@ -181,7 +187,7 @@
         self.keyring.sign(&Hop {
             version: HOP_VERSION,
             from: self.name.clone(),
-            to: attempt.to.name.clone(),
+            to: attempt.to().name.clone(),
             incarnation: self.incarnation,
             attempt: self.counter.fetch_add(1, Ordering::Relaxed),
             context: attempt.context.clone(),
@@ -219,16 +225,7 @@
 
     /// Takes over the published instances.
     pub fn take_instances(&self, instances: &[Instance]) {
-        let mut by_service: HashMap<&ServiceName, Vec<Instance>> = HashMap::new();
-        for instance in instances {
-            by_service
-                .entry(&instance.service)
-                .or_default()
-                .push(instance.clone());
-        }
-        for (service, instances) in by_service {
-            self.dispatcher.sync(service, &instances, self.clock.now());
-        }
+        self.dispatcher.sync(instances, self.clock.now());
         self.known.send_replace(instances.len());
     }
 
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -188,6 +188,7 @@
                     Some(earlier) => earlier.after(ended.outcome),
                 };
                 if matches!(outcome, Outcome::Completed(_)) {
+                    node.dispatcher.abandon(&mut plan, node.clock.now());
                     return (outcome, plan.used());
                 }
                 so_far = Some(outcome);
@@ -251,7 +252,7 @@
 
 async fn send_attempt(node: &Arc<Node>, out: &Outgoing<'_>, attempt: Attempt) -> Ended {
     let sent = node.clock.now();
-    let url = format!("http://{}{}", attempt.to.ingress, out.target);
+    let url = format!("http://{}{}", attempt.to().ingress, out.target);
     let req = node
         .client
         .request(out.method.clone(), url)
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -84,6 +84,7 @@
         idempotent: true,
         cross_region: true,
         tried,
+        fresh_only: false,
     }
 }
 
@@ -121,14 +122,14 @@
         running.sort_by_key(|(end, _)| *end);
         let due = running.partition_point(|(end, _)| *end <= now);
         for (end, pick) in running.drain(..due) {
-            router.answered(&pick, &behave(pick.instance.as_str()), end);
+            router.answered(&pick, &behave(pick.to.name.as_str()), end);
         }
         let Some(pick) = choose(router, &want(&service, tried), now, &mut rng) else {
             continue;
         };
         router.sent(&pick, now);
-        *counts.entry(pick.instance.to_string()).or_default() += 1;
-        let latency = behave(pick.instance.as_str()).latency;
+        *counts.entry(pick.to.name.to_string()).or_default() += 1;
+        let latency = behave(pick.to.name.as_str()).latency;
         running.push((now.plus(latency), pick));
     }
     counts
