--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,10 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use crate::operate::ReportArgs;
+use crate::operate::StatusArgs;
+use crate::operate::run_report;
+use crate::operate::run_status;
 use crate::policy::Policy;
 use crate::policy::describe::explain;
 use crate::policy::diff::diff;
@@ -47,6 +51,10 @@
         /// Policy file to compare with it
         new: PathBuf,
     },
+    /// Show the state of live nodes at a glance
+    Status(StatusArgs),
+    /// Show how fast error budgets are spent, and whether somebody has to act
+    Report(ReportArgs),
 }
 
 /// How a command ended.
@@ -87,6 +95,8 @@
             path,
         } => run_explain(file, [method, service, path], out, err),
         Command::Diff { old, new } => run_diff(old, new, out, err),
+        Command::Status(args) => run_status(args, out),
+        Command::Report(args) => run_report(args, out),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod measure;
 pub mod metrics;
 pub mod node;
+pub mod operate;
 pub mod policy;
 pub mod protocol;
 pub mod report;
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -2,11 +2,15 @@
 
 use std::sync::Arc;
 
+use clap::Parser;
 use dragonflylead::ErrorKind;
 use dragonflylead::NotRunKind;
 use dragonflylead::Priority;
 use dragonflylead::Time;
 use dragonflylead::call::Cohort;
+use dragonflylead::cli;
+use dragonflylead::cli::Cli;
+use dragonflylead::cli::Exit;
 use dragonflylead::fetch;
 use dragonflylead::fetch::Fetched;
 use dragonflylead::fetch::Unread;
@@ -276,6 +280,72 @@
     insta::assert_snapshot!(Glance(&troubled()));
 }
 
+#[tokio::test]
+async fn commands() {
+    struct Case {
+        args: &'static str,
+        exit: Exit,
+        wants: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            args: "status NODE",
+            exit: Exit::Good,
+            wants: &["1 node in 1 failure domain; all answered", "revision 12"],
+        },
+        Case {
+            args: "status --json NODE",
+            exit: Exit::Good,
+            wants: &["\"instance\": \"payments-1\""],
+        },
+        Case {
+            args: "report --window 1h NODE http://127.0.0.1:1",
+            exit: Exit::Bad,
+            wants: &[
+                "act    1h",
+                "not read: http://127.0.0.1:1: cannot be reached",
+            ],
+        },
+        Case {
+            args: "report --json NODE --html FILE",
+            exit: Exit::Good,
+            wants: &["\"urgency\": \"none\""],
+        },
+    ];
+    let mut status = node("payments-1", &[]);
+    let steady = Load {
+        from_minute: NOW_MINUTE - 10,
+        to_minute: NOW_MINUTE,
+        calls: 1,
+        bad: 0,
+    };
+    status.history = node("", &[(Priority::Critical, &[steady])]).history;
+    let port = OperatorPort::new(Arc::new(Metrics::new()), move || status.clone());
+    let server = port.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let dir = tempfile::tempdir().unwrap();
+    let page = dir.path().join("report.html");
+    for case in cases {
+        let args = case.args.replace("NODE", &server.address().to_string());
+        let args = args.replace("FILE", page.to_str().unwrap());
+        let args = std::iter::once("dragonflylead").chain(args.split(' '));
+        let cli = Cli::try_parse_from(args).unwrap();
+        let run = move || {
+            let mut out = Vec::new();
+            let exit = cli::run(&cli, &mut out, &mut Vec::new()).unwrap();
+            (exit, String::from_utf8(out).unwrap())
+        };
+        let (exit, out) = tokio::task::spawn_blocking(run).await.unwrap();
+        assert_eq!(exit, case.exit, "{out}");
+        for want in case.wants {
+            assert!(out.contains(want), "{want} in {out}");
+        }
+    }
+    let page = std::fs::read_to_string(page).unwrap();
+    assert!(page.starts_with("<!DOCTYPE html>"));
+    assert!(Cli::try_parse_from(["dragonflylead", "report", "--window", "7m", "x"]).is_err());
+    server.stop().await;
+}
+
 #[tokio::test]
 async fn nodes_are_read() {
     let mut urls = Vec::new();
