--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod operate;
 pub mod policy;
 pub mod protocol;
+pub mod records;
 pub mod report;
 pub mod running;
 pub mod settings;
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -1,5 +1,6 @@
 //! What a node tells an operator about itself.
 
+pub mod egress;
 pub mod glance;
 
 use std::fmt;
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -5,6 +5,7 @@
 
 use dragonflylead::ErrorKind;
 use dragonflylead::NotRunKind;
+use dragonflylead::Policy;
 use dragonflylead::Priority;
 use dragonflylead::Time;
 use dragonflylead::UnknownKind;
@@ -18,6 +19,10 @@
 use dragonflylead::metrics::Direction;
 use dragonflylead::metrics::Metrics;
 use dragonflylead::metrics::Side;
+use dragonflylead::policy::Share;
+use dragonflylead::policy::SloRule;
+use dragonflylead::records::Records;
+use dragonflylead::records::objectives;
 use dragonflylead::state::history::Counts;
 use dragonflylead::state::history::History;
 use dragonflylead::state::history::MAX_SERIES;
@@ -229,6 +234,60 @@
     }
 }
 
+#[test]
+fn records_heed_the_objective() {
+    struct Case {
+        side: Side,
+        priority: Priority,
+        took_ms: u64,
+        want: Option<Counts>,
+    }
+    let good = Counts {
+        calls: 1,
+        good: 1,
+        ..Counts::default()
+    };
+    let late = Counts { good: 0, ..good };
+    let case = |side, priority, took_ms, want| Case {
+        side,
+        priority,
+        took_ms,
+        want,
+    };
+    let cases = [
+        case(Side::Egress, Priority::Critical, 800, Some(good)),
+        case(Side::Entry, Priority::Critical, 801, Some(late)),
+        case(Side::Entry, Priority::Low, 5_000, Some(good)),
+        case(Side::Ingress, Priority::Critical, 1, None),
+    ];
+    let rule = SloRule {
+        name: "charges".to_owned(),
+        service: "payments".into(),
+        priority: Priority::Critical,
+        objective: Share::from_ppm(999_000),
+        latency: Duration::from_millis(800),
+        requester: "Farida K.".to_owned(),
+    };
+    let policy = Policy::from_rules(Vec::new(), Vec::new(), Vec::new(), vec![rule]);
+    for case in cases {
+        let records = Records::new();
+        let end = CallEnd {
+            side: case.side,
+            service: &"payments".into(),
+            priority: case.priority,
+            error: None,
+            took: Duration::from_millis(case.took_ms),
+        };
+        records.ended(&end, &policy, Time::ZERO);
+        let history = records.history(Time::ZERO);
+        let got = history.first().map(|series| series.windows[0].counts);
+        assert_eq!(got, case.want);
+        let objectives = objectives(&policy, &history);
+        let governed = case.want.is_some() && case.priority == Priority::Critical;
+        assert_eq!(objectives.len(), usize::from(governed));
+    }
+}
+
 #[test]
 fn history_outcomes_and_bound() {
     let mut history = History::new();
