--- a/src/coordination/level.rs
+++ b/src/coordination/level.rs
@@ -17,9 +17,18 @@
 
 pub use crate::coordination::level_view::LevelView;
 
-/// Time between two changes of the level.
+/// Shortest time between two changes of the level.
 pub const LEVEL_WINDOW: Duration = Duration::from_millis(100);
 
+/// Longest time between two changes of the level.
+pub const LONGEST_WINDOW: Duration = Duration::from_millis(500);
+
+/// Offered calls after which the level changes, if [`LEVEL_WINDOW`] has passed.
+pub const WINDOW_CALLS: u64 = 32;
+
+/// Share of the excess calls of a window that the level shuts out.
+pub const LOWERING: f64 = 0.5;
+
 /// Share of offered calls that the queue may drop without the level being lowered.
 pub const DROP_TOLERANCE: f64 = 0.05;
 
@@ -164,7 +173,7 @@
 pub struct LevelControl {
     rank: u16,
     rise: u16,
-    window_end: Time,
+    window_start: Time,
     arrivals: Box<[u32]>,
     offered: u64,
     dropped: u64,
@@ -176,7 +185,7 @@
         LevelControl {
             rank: RANKS - 1,
             rise: FIRST_RISE,
-            window_end: now.plus(LEVEL_WINDOW),
+            window_start: now,
             arrivals: vec![0; usize::from(RANKS)].into_boxed_slice(),
             offered: 0,
             dropped: 0,
@@ -197,10 +206,12 @@
 
     /// Moves the level if a window ended by `now`. To be called at arrivals and ticks.
     pub fn update(&mut self, load: Load, now: Time) {
-        if now < self.window_end {
+        let offered = load.offered.saturating_sub(self.offered);
+        let length = now.since(self.window_start);
+        let few = offered < WINDOW_CALLS && load.queued > 0;
+        if length < LEVEL_WINDOW || (few && length < LONGEST_WINDOW) {
             return;
         }
-        let offered = load.offered.saturating_sub(self.offered);
         let dropped = load.dropped.saturating_sub(self.dropped);
         let tolerated = offered as f64 * DROP_TOLERANCE;
         if dropped == 0 && !load.overloaded {
@@ -209,12 +220,12 @@
             self.rise = FIRST_RISE;
         }
         if load.overloaded && dropped as f64 > tolerated {
-            self.lower((dropped as f64 - tolerated) as u64);
+            self.lower(((dropped as f64 - tolerated) * LOWERING) as u64);
         }
         self.offered = load.offered;
         self.dropped = load.dropped;
         self.arrivals.fill(0);
-        self.window_end = now.plus(LEVEL_WINDOW);
+        self.window_start = now;
     }
 
     fn raise(&mut self) {
