--- a/src/coordination/gate/mod.rs
+++ b/src/coordination/gate/mod.rs
@@ -94,7 +94,7 @@
     /// Ends a call with the outcome that its caller is told.
     ///
     /// The answer is `None` if it is too large to be kept. Idempotent calls that shared a run which
-    /// gave no answer for them, but may still get one, are offered to admission themselves.
+    /// gave no answer for them, but still have time, share a new one.
     pub fn finish(
         &self,
         ticket: Ticket,
@@ -121,14 +121,9 @@
         admission.finish(ticket, ending(outcome), now, effects);
         admission.withdraw(ticket, now, effects);
         if call.context.idempotent && is_own_end(outcome) {
-            let ended = lost(outcome);
-            sharing.retain(|other| match held.reoffer(*other, ended, now) {
-                Some(job) => {
-                    admission.offer(job, now, effects);
-                    false
-                }
-                None => true,
-            });
+            for job in held.lead_again(&mut sharing, lost(outcome), now) {
+                admission.offer(job, now, effects);
+            }
         }
         Finished { spent, sharing }
     }
--- a/src/coordination/held.rs
+++ b/src/coordination/held.rs
@@ -7,6 +7,7 @@
 use crate::clock::Time;
 use crate::coordination::attempts::SeenAttempts;
 use crate::coordination::budget::SeenRequests;
+use crate::coordination::join::Join;
 use crate::coordination::join::Joins;
 use crate::coordination::join::RunKey;
 use crate::coordination::queue::Job;
@@ -131,21 +132,32 @@
         sharing
     }
 
-    /// Takes a follower out of its ended run, if it still has time to run by itself. Returns the
-    /// job that asks for a slot.
-    pub fn reoffer(
+    /// Lets calls whose shared run ended without an answer for them share a new one.
+    ///
+    /// The first that still has time leads it; its job asks for a slot. Those without time are left
+    /// in `sharing`.
+    pub fn lead_again(
         &mut self,
-        ticket: Ticket,
+        sharing: &mut Vec<Ticket>,
         ended: Option<UnknownKind>,
         now: Time,
-    ) -> Option<Job> {
-        let call = self.by_ticket.get_mut(&ticket)?;
-        if now >= call.deadline {
-            return None;
-        }
-        call.stage = Stage::Queued;
-        call.key = None;
-        call.shared = ended;
-        Some(call.job(ticket))
+    ) -> Vec<Job> {
+        let mut jobs = Vec::new();
+        sharing.retain(|ticket| {
+            let Some(call) = self.by_ticket.get_mut(ticket) else {
+                return true;
+            };
+            if now >= call.deadline {
+                return true;
+            }
+            call.shared = ended;
+            let joined = call.key.map(|key| self.joins.join(key, *ticket));
+            if !matches!(joined, Some(Join::Follow(_))) {
+                call.stage = Stage::Queued;
+                jobs.push(call.job(*ticket));
+            }
+            false
+        });
+        jobs
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,10 +1,10 @@
 //! A node: its tables and what its ports share.
 
-use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -21,6 +21,7 @@
 use crate::coordination::admission::TICK;
 use crate::coordination::admission::Ticket;
 use crate::coordination::dispatch::Attempt;
+use crate::coordination::dispatch::DispatchConfig;
 use crate::coordination::dispatch::Dispatcher;
 use crate::coordination::dispatch::Plan;
 use crate::coordination::dispatch::Step;
@@ -28,11 +29,13 @@
 use crate::coordination::gate::Arrived;
 use crate::coordination::gate::Gate;
 use crate::coordination::poison::CrashReport;
+use crate::coordination::routing::Home;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
 use crate::instance::Incarnation;
 use crate::instance::Instance;
 use crate::instance::InstanceName;
+use crate::instance::InstanceState;
 use crate::instance::ServiceName;
 use crate::policy::Policy;
 use crate::protocol::hop::HOP_VERSION;
@@ -74,6 +77,7 @@
     rng: Mutex<ChaCha12Rng>,
     counter: AtomicU64,
     ticked: AtomicU64,
+    seen_live: AtomicBool,
     reports: Mutex<Vec<CrashReport>>,
     ports: RwLock<ServedPorts>,
     /// Told when a call has ended.
@@ -104,6 +108,11 @@
             .iter()
             .find(|s| s.service == service)
             .map_or(16, |s| s.slots);
+        let home = Home {
+            instance: settings.instance.name.clone(),
+            domain: settings.instance.domain.clone(),
+            region: settings.instance.region.clone(),
+        };
         Ok(Node {
             name: settings.instance.name.clone(),
             service,
@@ -113,7 +122,7 @@
                 Admission::new(slots, clock.now()),
                 KeptAnswer::bytes,
             ),
-            dispatcher: Dispatcher::new(),
+            dispatcher: Dispatcher::new(home, DispatchConfig::default(), clock.now()),
             client: forward::client()?,
             keyring: Keyring::new(&settings.keys.current, settings.keys.previous.as_deref()),
             incarnation,
@@ -122,6 +131,7 @@
             rng: Mutex::new(rng),
             counter: AtomicU64::new(0),
             ticked: AtomicU64::new(clock.now().micros()),
+            seen_live: AtomicBool::new(false),
             reports: Mutex::default(),
             ports: RwLock::default(),
             ended: Notify::new(),
@@ -229,7 +239,7 @@
         self.keyring.sign(&Hop {
             version: HOP_VERSION,
             from: self.name.clone(),
-            to: attempt.to.name.clone(),
+            to: attempt.to().name.clone(),
             incarnation: self.incarnation,
             attempt: self.counter.fetch_add(1, Ordering::Relaxed),
             context: attempt.context.clone(),
@@ -270,19 +280,25 @@
 
     /// Takes over the published instances.
     pub fn take_instances(&self, instances: &[Instance]) {
-        let mut by_service: HashMap<&ServiceName, Vec<Instance>> = HashMap::new();
-        for instance in instances {
-            by_service
-                .entry(&instance.service)
-                .or_default()
-                .push(instance.clone());
-        }
-        for (service, instances) in by_service {
-            self.dispatcher.sync(service, &instances, self.clock.now());
-        }
+        self.dispatcher.sync(instances, self.clock.now());
+        self.learn_own_state(instances);
         self.known.send_replace(instances.len());
     }
 
+    /// Starts to drain when the list says that this instance is leaving.
+    ///
+    /// A list that never named it as live may still speak of its predecessor of the same name.
+    fn learn_own_state(&self, instances: &[Instance]) {
+        let own = instances.iter().find(|i| i.name == self.name);
+        match own.map(|i| i.state) {
+            Some(InstanceState::Live) => self.seen_live.store(true, Ordering::Relaxed),
+            Some(InstanceState::Leaving) if self.seen_live.load(Ordering::Relaxed) => {
+                self.gate.drain();
+            }
+            _ => (),
+        }
+    }
+
     fn with_rng<F, T>(&self, draw: F) -> T
     where
         F: FnOnce(&mut ChaCha12Rng) -> T,
