Shed by admission level at the gate, and tell the level with each answer

The level of an instance was decided and never asked. Calls below it are shed before they are queued; calls that enter here are also measured against the strictest level of the services behind. Parts of the gate can be switched off for a comparison: levels, joins, and those of admission.

--- a/src/coordination/gate/arrive.rs
+++ b/src/coordination/gate/arrive.rs
@@ -135,10 +135,15 @@
         if self.is_draining() {
             return Err(NotRunKind::Draining);
         }
-        match self.suspects.lock().verdict(now, arrival.fingerprint) {
-            Verdict::Clear => Ok(false),
-            Verdict::Alone => Ok(true),
-            Verdict::Quarantined => Err(NotRunKind::Quarantined),
+        let alone = match self.suspects.lock().verdict(now, arrival.fingerprint) {
+            Verdict::Clear => false,
+            Verdict::Alone => true,
+            Verdict::Quarantined => return Err(NotRunKind::Quarantined),
+        };
+        let entered = matches!(arrival.source, Source::Caller { .. });
+        match self.intake.lock().lets_in(arrival.context, entered, now) {
+            true => Ok(alone),
+            false => Err(NotRunKind::Shed),
         }
     }
 
@@ -154,7 +159,7 @@
     ) -> Arrived<A> {
         let key = match token {
             Some(token) => Some(token_key(&token, arrival.fingerprint)),
-            None => share_key(arrival),
+            None => share_key(arrival).filter(|_| self.joins),
         };
         let exclusive = match placed {
             Ok(exclusive) => exclusive,
@@ -177,7 +182,7 @@
         call.exclusive = exclusive;
         let job = call.job(arrival.ticket);
         held.by_ticket.insert(arrival.ticket, call);
-        self.admission.lock().offer(job, now, effects);
+        self.intake.lock().admission().offer(job, now, effects);
         Arrived::Offered
     }
 }
--- a/src/coordination/gate/mod.rs
+++ b/src/coordination/gate/mod.rs
@@ -4,18 +4,24 @@
 //! it exactly once, with the outcome that the caller is told. Until then its token is in progress.
 
 mod arrive;
+mod ending;
+mod intake;
 
 use rand::CryptoRng;
 
 use crate::call::RequestId;
 use crate::clock::Time;
-use crate::coordination::admission::Admission;
 use crate::coordination::admission::Effect;
-use crate::coordination::admission::Ending;
 use crate::coordination::admission::Load;
 use crate::coordination::admission::Ticket;
+use crate::coordination::gate::ending::ending;
+use crate::coordination::gate::ending::is_own_end;
+use crate::coordination::gate::ending::lost;
+use crate::coordination::gate::intake::Intake;
 use crate::coordination::held::Held;
 use crate::coordination::held::Stage;
+use crate::coordination::level::Level;
+use crate::coordination::level::LevelReport;
 use crate::coordination::pause::PauseGuard;
 use crate::coordination::pause::Woke;
 use crate::coordination::poison::CrashReport;
@@ -41,6 +47,22 @@
 pub use crate::coordination::arrival::Finished;
 pub use crate::coordination::arrival::Refusal;
 pub use crate::coordination::arrival::Source;
+pub use crate::coordination::gate::intake::GateConfig;
+
+/// How much a gate holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GateCounts {
+    /// Calls between arrival and end.
+    pub held: usize,
+    /// Idempotency tokens.
+    pub tokens: usize,
+    /// Bytes of the answers kept for replay.
+    pub kept_bytes: usize,
+    /// Requests suspected of crashing targets, the quarantined ones included.
+    pub suspects: usize,
+    /// Requests quarantined.
+    pub quarantined: usize,
+}
 
 /// The ingress decisions of one incarnation of an instance. `A` is an answer kept for replay.
 pub struct Gate<A> {
@@ -48,7 +70,8 @@
     held: Table<Held>,
     tokens: Table<Tokens<A>>,
     suspects: Table<Suspects>,
-    admission: Table<Admission>,
+    intake: Table<Intake>,
+    joins: bool,
     draining: std::sync::atomic::AtomicBool,
     instance: InstanceName,
     size: fn(&A) -> usize,
@@ -62,8 +85,9 @@
     pub fn new(
         instance: &InstanceName,
         incarnation: Incarnation,
-        admission: Admission,
+        cfg: GateConfig,
         size: fn(&A) -> usize,
+        now: Time,
     ) -> Gate<A> {
         let tokens = Tokens::new(instance, incarnation);
         Gate {
@@ -71,7 +95,8 @@
             held: Table::new(Rank::Calls, Held::default()),
             tokens: Table::new(Rank::Tokens, tokens),
             suspects: Table::new(Rank::Suspects, Suspects::new()),
-            admission: Table::new(Rank::Admission, admission),
+            intake: Table::new(Rank::Admission, Intake::new(cfg, now)),
+            joins: cfg.joins,
             draining: false.into(),
             instance: instance.clone(),
             size,
@@ -117,7 +142,8 @@
         if matches!(outcome, Outcome::Completed(_)) && call.is_running() {
             self.suspects.lock().completed(call.fingerprint);
         }
-        let mut admission = self.admission.lock();
+        let mut intake = self.intake.lock();
+        let admission = intake.admission();
         admission.finish(ticket, ending(outcome), now, effects);
         admission.withdraw(ticket, now, effects);
         if call.context.idempotent && is_own_end(outcome) {
@@ -154,7 +180,12 @@
             let runs = call.is_running() || call.stage == Stage::Following;
             if runs && call.context.idempotent {
                 stop.push(ticket);
-            } else if self.admission.lock().withdraw(ticket, now, effects) {
+            } else if self
+                .intake
+                .lock()
+                .admission()
+                .withdraw(ticket, now, effects)
+            {
                 effects.push(Effect::Drop(ticket, NotRunKind::Withdrawn));
             }
         }
@@ -240,13 +271,14 @@
     /// Runs what is due. Returns the wake-up if the process was paused before.
     pub fn tick(&self, tick: Tick, effects: &mut Vec<Effect>) -> Option<Woke> {
         let woke = self.pause.lock().tick(tick);
-        self.admission.lock().tick(tick.now, effects);
+        self.intake.lock().tick(tick.now, effects);
         woke
     }
 
     /// Adopts a new number of published slots.
     pub fn set_slots(&self, slots: u32, now: Time, effects: &mut Vec<Effect>) {
-        self.admission.lock().set_slots(slots, now, effects);
+        let mut intake = self.intake.lock();
+        intake.admission().set_slots(slots, now, effects);
     }
 
     /// Takes no new work from now on, for the rest of this incarnation.
@@ -265,9 +297,33 @@
         self.held.lock().by_ticket.is_empty()
     }
 
+    /// Takes note of the strictest level of the services that calls from outside lead to.
+    pub fn set_behind(&self, behind: Level) {
+        self.intake.lock().set_behind(behind);
+    }
+
+    /// Returns the level and the load that go with each answer.
+    pub fn level(&self) -> LevelReport {
+        self.intake.lock().report()
+    }
+
     /// Returns the load.
     pub fn load(&self) -> Load {
-        self.admission.lock().load()
+        self.intake.lock().admission().load()
+    }
+
+    /// Returns how much is held, for status and metrics.
+    pub fn counts(&self) -> GateCounts {
+        let held = self.held.lock().by_ticket.len();
+        let tokens = self.tokens.lock();
+        let suspects = self.suspects.lock();
+        GateCounts {
+            held,
+            tokens: tokens.len(),
+            kept_bytes: tokens.kept_bytes(),
+            suspects: suspects.len(),
+            quarantined: suspects.quarantined().len(),
+        }
     }
 
     fn end_token(&self, token: &Token, outcome: &Outcome<Option<A>>, now: Time) {
@@ -282,36 +338,3 @@
         }
     }
 }
-
-/// Returns what a run that gave no answer to share leaves unknown.
-fn lost<A>(outcome: &Outcome<Option<A>>) -> Option<UnknownKind> {
-    match outcome {
-        Outcome::Completed(_) => Some(UnknownKind::AnswerNotKept),
-        Outcome::NotRun(_) => None,
-        Outcome::Unknown(kind) => Some(*kind),
-    }
-}
-
-/// Returns whether a run ended for a reason of its leader's own, that says nothing to its followers.
-fn is_own_end<A>(outcome: &Outcome<Option<A>>) -> bool {
-    match outcome {
-        Outcome::Completed(answer) => answer.is_none(),
-        Outcome::NotRun(kind) => {
-            matches!(kind, NotRunKind::DeadlineInQueue | NotRunKind::Withdrawn)
-        }
-        Outcome::Unknown(kind) => matches!(
-            kind,
-            UnknownKind::Deadline | UnknownKind::Cancelled | UnknownKind::Preempted
-        ),
-    }
-}
-
-fn ending<A>(outcome: &Outcome<Option<A>>) -> Ending {
-    match outcome {
-        Outcome::Completed(_) => Ending::Ok,
-        Outcome::Unknown(
-            UnknownKind::Cancelled | UnknownKind::Deadline | UnknownKind::Preempted,
-        ) => Ending::Cancelled,
-        Outcome::NotRun(_) | Outcome::Unknown(_) => Ending::Failed,
-    }
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,7 +17,6 @@
 use crate::call::RequestId;
 use crate::clock::Clock;
 use crate::clock::Time;
-use crate::coordination::admission::Admission;
 use crate::coordination::admission::TICK;
 use crate::coordination::admission::Ticket;
 use crate::coordination::dispatch::Attempt;
@@ -28,6 +27,7 @@
 use crate::coordination::gate::Arrival;
 use crate::coordination::gate::Arrived;
 use crate::coordination::gate::Gate;
+use crate::coordination::gate::GateConfig;
 use crate::coordination::poison::CrashReport;
 use crate::coordination::routing::Home;
 use crate::error::Outcome;
@@ -119,8 +119,9 @@
             gate: Gate::new(
                 &settings.instance.name,
                 incarnation,
-                Admission::new(slots, clock.now()),
+                GateConfig::full(slots),
                 KeptAnswer::bytes,
+                clock.now(),
             ),
             dispatcher: Dispatcher::new(home, DispatchConfig::default(), clock.now()),
             client: forward::client()?,
@@ -263,6 +264,7 @@
     pub fn notes(&self, spent: Option<u32>) -> Notes {
         Notes {
             instance: self.name.to_string(),
+            level: Some(self.gate.level().to_string()),
             spent,
             ..Notes::default()
         }
@@ -274,6 +276,7 @@
         let now = self.clock.now();
         let before = self.ticked.swap(now.micros(), Ordering::Relaxed);
         let late = now.since(Time::from_micros(before).plus(TICK));
+        self.gate.set_behind(self.dispatcher.worst_level(now));
         self.gate.tick(Tick { now, late }, &mut effects);
         self.waiters.apply(&effects);
     }
--- a/tests/replay/node.rs
+++ b/tests/replay/node.rs
@@ -11,7 +11,6 @@
 use dragonflylead::Priority;
 use dragonflylead::RequestId;
 use dragonflylead::Time;
-use dragonflylead::coordination::admission::Admission;
 use dragonflylead::coordination::admission::Effect;
 use dragonflylead::coordination::admission::Ticket;
 use dragonflylead::coordination::attempts::AttemptId;
@@ -22,6 +21,7 @@
 use dragonflylead::coordination::gate::Arrived;
 use dragonflylead::coordination::gate::Child;
 use dragonflylead::coordination::gate::Gate;
+use dragonflylead::coordination::gate::GateConfig;
 use dragonflylead::coordination::gate::Source;
 use dragonflylead::coordination::poison::CrashReport;
 use dragonflylead::fingerprint::RequestParts;
@@ -76,9 +76,9 @@
     /// Starts a node.
     pub(crate) fn new(name: &str, incarnation: u64, now: Time) -> Node {
         let name = InstanceName::new(name);
-        let admission = Admission::new(SLOTS, now);
+        let cfg = GateConfig::full(SLOTS);
         Node {
-            gate: Gate::new(&name, Incarnation(incarnation), admission, String::len),
+            gate: Gate::new(&name, Incarnation(incarnation), cfg, String::len, now),
             config: ConfigState::new(BTreeSet::new()),
             calls: BTreeMap::new(),
             children: BTreeMap::new(),
