Try charges through real nodes: copies, another instance, a crash of the target

Five copies of one charge at once and one later: one run, the same whole answer (tests/charges.rs). A charge refused by a draining entry runs once at the other instance and is replayed from the entry's token.

--- /dev/null
+++ b/tests/charges.rs
@@ -0,0 +1,182 @@
+//! Charges through real nodes: tokens, copies, other instances, crashes of the target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dragonflylead::protocol::header;
+use dragonflylead::standin::fleet::Fleet;
+use dragonflylead::standin::fleet::FleetSpec;
+use dragonflylead::standin::fleet::Place;
+use dragonflylead::standin::fleet::ServiceSpec;
+use dragonflylead::standin::target::Behaviour;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+const POLICY: &str = "\
+[calls]
+charge = POST payments /charge priority=critical idempotent=no timeout=10s # refunds desk
+price = GET payments /prices/* priority=normal idempotent=yes timeout=10s retries=2 # price desk
+
+[services]
+payments = slots=8 connections=64 # racks
+";
+
+struct Told {
+    status: u16,
+    outcome: String,
+    kind: Option<String>,
+    token: Option<String>,
+    body: String,
+}
+
+async fn fleet(service_time: Duration) -> Fleet {
+    Fleet::start(&spec(service_time)).await.unwrap()
+}
+
+fn spec(service_time: Duration) -> FleetSpec {
+    let behaviour = Behaviour {
+        service_time,
+        ..Behaviour::default()
+    };
+    FleetSpec {
+        policy: POLICY.to_owned(),
+        places: vec![Place {
+            domain: "sindh-1".to_owned(),
+            region: "sindh".to_owned(),
+        }],
+        services: vec![ServiceSpec {
+            name: "payments".to_owned(),
+            instances: 2,
+            behaviour,
+        }],
+        seed: 4,
+    }
+}
+
+fn text(response: &reqwest::Response, name: &str) -> Option<String> {
+    let value = response.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+async fn send(entry: SocketAddr, token: Option<&str>, body: &'static str) -> Told {
+    let mut req = reqwest::Client::new()
+        .post(format!("http://{entry}/charge"))
+        .header("x-op", "wallet-7")
+        .body(body);
+    if let Some(token) = token {
+        req = req.header(header::TOKEN, token);
+    }
+    told(req).await
+}
+
+async fn look(entry: SocketAddr) -> Told {
+    let req = reqwest::Client::new()
+        .get(format!("http://{entry}/prices/bins"))
+        .header(header::REQUEST_ID, "same")
+        .header("x-op", "price");
+    told(req).await
+}
+
+async fn told(req: reqwest::RequestBuilder) -> Told {
+    let response = req.send().await.unwrap();
+    Told {
+        status: response.status().as_u16(),
+        outcome: text(&response, header::OUTCOME).unwrap(),
+        kind: text(&response, header::ERROR),
+        token: text(&response, header::TOKEN),
+        body: response.text().await.unwrap(),
+    }
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.members.iter().map(|m| m.target.runs().len()).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_of_a_charge_run_once_and_get_its_answer() {
+    let fleet = fleet(Duration::from_millis(200)).await;
+    let entry = fleet.entries("payments")[0];
+    let without = send(entry, None, "rupees=100").await;
+    assert_eq!((without.status, without.outcome.as_str()), (428, "not-run"));
+    let token = without.token.unwrap();
+    let token = token.as_str();
+    let copies = (0..5).map(|_| send(entry, Some(token), "rupees=100"));
+    for copy in futures_util::future::join_all(copies).await {
+        assert_eq!((copy.status, copy.outcome.as_str()), (200, "completed"));
+        assert!(copy.body.contains("wallet-7 10 bytes"), "{}", copy.body);
+    }
+    let later = send(entry, Some(token), "rupees=100").await;
+    assert_eq!((later.status, later.outcome.as_str()), (200, "completed"));
+    let other = send(entry, Some(token), "rupees=999").await;
+    assert_eq!(other.kind.as_deref(), Some("request-mismatch"));
+    let elsewhere = send(fleet.entries("payments")[1], Some(token), "rupees=100").await;
+    assert_eq!(elsewhere.outcome, "unknown");
+    assert_eq!(elsewhere.kind.as_deref(), Some("token-foreign"));
+    assert_eq!(runs(&fleet), 1);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_of_a_lookup_share_a_run() {
+    let fleet = fleet(Duration::from_millis(200)).await;
+    let entry = fleet.entries("payments")[0];
+    let copies = futures_util::future::join_all((0..5).map(|_| look(entry))).await;
+    assert!(copies.iter().all(|copy| copy.outcome == "completed"));
+    assert!(copies.iter().all(|copy| copy.body == copies[0].body));
+    assert_eq!(runs(&fleet), 1);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_charge_refused_here_runs_once_elsewhere() {
+    let fleet = fleet(Duration::from_millis(2)).await;
+    let entry = fleet.entries("payments")[0];
+    let token = send(entry, None, "rupees=100").await.token.unwrap();
+    let first = &fleet.members[0];
+    first.node.node().gate.drain();
+    let moved = send(entry, Some(&token), "rupees=100").await;
+    assert_eq!(moved.outcome, "completed");
+    let again = send(entry, Some(&token), "rupees=100").await;
+    assert_eq!((again.outcome, again.body), (moved.outcome, moved.body));
+    assert_eq!(first.target.runs().len(), 0);
+    assert_eq!(runs(&fleet), 1);
+    let without = send(entry, None, "rupees=100").await;
+    assert_eq!(without.kind.as_deref(), Some("draining"));
+    assert_eq!(runs(&fleet), 1);
+    fleet.stop().await;
+}
+
+/// Accepts one connection, reads from it, and dies: nothing listens any more.
+async fn crash_once(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buf = [0; 1024];
+    let read = stream.read(&mut buf).await.unwrap();
+    assert!(read > 0);
+    drop(listener);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_makes_suspects_and_is_not_retried() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let spec = spec(Duration::from_millis(2));
+    let fleet = Fleet::start_with(&spec, |settings| settings.target = target)
+        .await
+        .unwrap();
+    let entry = fleet.entries("payments")[0];
+    let token = send(entry, None, "rupees=100").await.token.unwrap();
+    let crash = tokio::spawn(crash_once(listener));
+    let told = send(entry, Some(&token), "rupees=100").await;
+    crash.await.unwrap();
+    assert_eq!(told.outcome, "unknown");
+    assert_eq!(told.kind.as_deref(), Some("target-crashed"));
+    let node = fleet.members[0].node.node().clone();
+    assert_eq!(node.gate.counts().suspects, 1);
+    assert_eq!(node.take_reports().len(), 1);
+    let again = send(entry, Some(&token), "rupees=100").await;
+    assert_eq!(again.kind.as_deref(), Some("target-crashed"));
+    let fresh = send(entry, None, "rupees=200").await.token.unwrap();
+    let unreachable = send(entry, Some(&fresh), "rupees=200").await;
+    assert_eq!(unreachable.outcome, "not-run");
+    fleet.stop().await;
+}
