--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -6,7 +6,11 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use dragonflylead::CallContext;
+use dragonflylead::ErrorKind;
+use dragonflylead::NotRunKind;
 use dragonflylead::Priority;
+use dragonflylead::RequestId;
 use dragonflylead::Time;
 use dragonflylead::call::COHORTS;
 use dragonflylead::call::Cohort;
@@ -15,8 +19,21 @@
 use dragonflylead::coordination::admission::Ending;
 use dragonflylead::coordination::admission::Job;
 use dragonflylead::coordination::admission::Ticket;
+use dragonflylead::coordination::dispatch::Call;
+use dragonflylead::coordination::dispatch::DispatchConfig;
+use dragonflylead::coordination::dispatch::Dispatcher;
+use dragonflylead::coordination::dispatch::Report;
+use dragonflylead::coordination::dispatch::Step;
 use dragonflylead::coordination::level::LevelControl;
 use dragonflylead::coordination::level::LevelView;
+use dragonflylead::coordination::routing::Home;
+use dragonflylead::coordination::routing::RoutingConfig;
+use dragonflylead::coordination::subset::SubsetConfig;
+use dragonflylead::instance::DomainName;
+use dragonflylead::instance::Instance;
+use dragonflylead::instance::InstanceName;
+use dragonflylead::instance::InstanceState;
+use dragonflylead::instance::RegionName;
 use dragonflylead::instance::ServiceName;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -132,5 +149,128 @@
     );
 }
 
-criterion_group!(decisions, admission, level);
+/// Targets that the node of the routing benches knows.
+const TARGETS: usize = 1_000;
+
+fn instances(services: usize) -> Vec<Instance> {
+    let instance = |i: usize| Instance {
+        name: InstanceName::new(&format!("instance-{i}")),
+        service: ServiceName::new(&format!("service-{}", i % services)),
+        domain: DomainName::new(&format!("domain-{}", i % 7)),
+        region: RegionName::new(&format!("region-{}", i % 7 / 3)),
+        ingress: ([127, 0, 0, 1], 1).into(),
+        peer: ([127, 0, 0, 1], 2).into(),
+        state: InstanceState::Live,
+    };
+    (0..TARGETS).map(instance).collect()
+}
+
+fn dispatcher(services: usize, routing: RoutingConfig) -> Dispatcher {
+    let home = Home {
+        instance: InstanceName::new("own"),
+        domain: DomainName::new("domain-0"),
+        region: RegionName::new("region-0"),
+    };
+    let cfg = DispatchConfig {
+        routing,
+        allowance: false,
+        ..DispatchConfig::default()
+    };
+    let dispatcher = Dispatcher::new(home, cfg, Time::ZERO);
+    dispatcher.sync(&instances(services), Time::ZERO);
+    dispatcher
+}
+
+/// Makes calls whose first attempts end with `first`.
+struct Calls {
+    dispatcher: Dispatcher,
+    context: CallContext,
+    services: Vec<ServiceName>,
+    first: Result<u16, ErrorKind>,
+    rng: ChaCha8Rng,
+    now: Time,
+    made: usize,
+}
+
+impl Calls {
+    fn new(services: usize, routing: RoutingConfig, first: Result<u16, ErrorKind>) -> Calls {
+        Calls {
+            dispatcher: dispatcher(services, routing),
+            context: CallContext {
+                request: RequestId(1),
+                priority: Priority::Low,
+                idempotent: true,
+                remaining: Duration::from_secs(1),
+                spare: 3,
+                depth: 3,
+                moved: false,
+            },
+            services: (0..services)
+                .map(|i| ServiceName::new(&format!("service-{i}")))
+                .collect(),
+            first,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            now: Time::ZERO,
+            made: 0,
+        }
+    }
+
+    fn call(&mut self) {
+        self.made += 1;
+        self.now = self.now.plus(Duration::from_millis(20));
+        let call = Call {
+            service: &self.services[self.made % self.services.len()],
+            context: &self.context,
+            cross_region: true,
+            not_to: None,
+        };
+        let mut plan = self.dispatcher.begin(&call, self.now);
+        let mut result = self.first;
+        while let Step::Send(attempt) = self.dispatcher.step(&mut plan, self.now, &mut self.rng) {
+            let report = Report {
+                result,
+                spent: Some(0),
+                level: Some("background.127;40"),
+                took: Duration::from_millis(10),
+                bytes: 2_000,
+            };
+            self.dispatcher
+                .ended(&mut plan, &attempt, &report, self.now);
+            if result.is_ok() {
+                return;
+            }
+            result = Ok(200);
+        }
+    }
+}
+
+fn routing(c: &mut Criterion) {
+    let refused = Err(ErrorKind::NotRun(NotRunKind::Overloaded));
+    let all = RoutingConfig {
+        subset: SubsetConfig::ALL,
+        ..RoutingConfig::default()
+    };
+    let cases = [
+        ("1,000 targets of 66 services", 66, RoutingConfig::default()),
+        ("1,000 targets of 1 service", 1, RoutingConfig::default()),
+        ("1,000 targets of 1 service, no subset", 1, all),
+    ];
+    for (name, services, cfg) in cases {
+        let mut calls = Calls::new(services, cfg.clone(), Ok(200));
+        c.bench_function(&format!("call of one attempt: {name}"), |b| {
+            b.iter(|| calls.call());
+        });
+        let mut calls = Calls::new(services, cfg, refused);
+        c.bench_function(&format!("call of two attempts: {name}"), |b| {
+            b.iter(|| calls.call());
+        });
+    }
+    let list = instances(66);
+    let dispatcher = dispatcher(66, RoutingConfig::default());
+    c.bench_function("routing: take over a list of 1,000 targets", |b| {
+        b.iter(|| dispatcher.sync(black_box(&list), Time::ZERO));
+    });
+}
+
+criterion_group!(decisions, admission, level, routing);
 criterion_main!(decisions);
