--- a/src/report/html.rs
+++ b/src/report/html.rs
@@ -20,6 +20,12 @@
 /// Highest rate of burn that a plot shows.
 const TOP_RATE: f64 = 100.0;
 
+/// Rates of burn that a plot marks: what the objective allows, and the one to act on now.
+const BURN_LINES: [f64; 2] = [1.0, 14.4];
+
+/// Factor above a marked rate that leaves room for its label.
+const LABEL_ROOM: f64 = 1.5;
+
 const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:72em;\
     padding:0 1em;color:#1c2430}h1{font-size:1.3em}table{border-collapse:collapse;width:100%}\
     th,td{padding:.35em .6em;text-align:right;border-bottom:1px solid #dde2e8;\
@@ -120,12 +126,10 @@
     bars(page, &row.minutes);
     let rates = row.minutes.iter().map(|c| share_bad(c) / allowed.max(1e-6));
     let rates: Vec<f64> = rates.map(|rate| rate.min(TOP_RATE)).collect();
-    let top = rates.iter().copied().fold(1.0, f64::max) * 1.1;
-    if row.objective.is_some() {
-        level_line(page, 1.0, top, "1");
-        if top > 14.4 {
-            level_line(page, 14.4, top, "14.4");
-        }
+    let top = top_of(&rates);
+    let lines = BURN_LINES.iter().filter(|line| **line <= top);
+    for rate in lines.filter(|_| row.objective.is_some()) {
+        level_line(page, *rate, top);
     }
     line(page, &rates, top);
     axis(page, top);
@@ -164,12 +168,23 @@
     );
 }
 
-fn level_line(page: &mut String, value: f64, top: f64, label: &str) {
+/// Returns the value at the upper edge, with room for the labels of the lines below it.
+fn top_of(rates: &[f64]) -> f64 {
+    let top = rates.iter().copied().fold(0.0, f64::max) * 1.1;
+    let crowded = BURN_LINES
+        .iter()
+        .find(|line| top < **line * LABEL_ROOM && top > **line / 2.0);
+    crowded
+        .map_or(top, |line| line * LABEL_ROOM)
+        .max(BURN_LINES[0] * LABEL_ROOM)
+}
+
+fn level_line(page: &mut String, value: f64, top: f64) {
     let y = height(value, top);
     let _ = write!(
         page,
         "<line x1=\"{MARGIN}\" x2=\"{}\" y1=\"{y:.1}\" y2=\"{y:.1}\" stroke=\"#5a6573\" \
-         stroke-dasharray=\"3 3\"/><text x=\"{}\" y=\"{:.1}\" text-anchor=\"end\">{label}</text>",
+         stroke-dasharray=\"3 3\"/><text x=\"{}\" y=\"{:.1}\" text-anchor=\"end\">{value}</text>",
         MARGIN + PLOT_WIDTH,
         MARGIN - 4.0,
         y + 3.0,
