--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -32,7 +32,7 @@
 const ESTIMATE_FALL: f64 = 1.0 / 4.0;
 
 /// A non-idempotent call is urgent when less than this multiple of the service time remains.
-const URGENT_ESTIMATES: u32 = 2;
+const URGENT_ESTIMATES: u32 = 6;
 
 /// Time until a preempted call has left its slot, added to the urgency of a non-idempotent call.
 const PREEMPT_MARGIN: Duration = Duration::from_millis(30);
--- a/src/coordination/limit.rs
+++ b/src/coordination/limit.rs
@@ -16,7 +16,7 @@
 pub const TOLERANCE: f64 = 1.6;
 
 /// Factor by which a trial lowers the limit.
-pub const SHRINK: f64 = 0.75;
+pub const SHRINK: f64 = 0.6;
 
 /// The limit never falls below the slots divided by this number.
 pub const FLOOR_DIVISOR: u32 = 8;
@@ -28,7 +28,7 @@
 const CAUSAL_SHARE: f64 = 0.5;
 
 /// Calls that end within this many latencies of a change do not yet show its effect.
-const SETTLE_LATENCIES: f64 = 3.0;
+const SETTLE_LATENCIES: f64 = 1.5;
 
 /// Weight of a window in the baseline when latency is below it.
 const BASELINE_FALL: f64 = 0.25;
