Operators' pages: policy file, settings, glossary, first policies of both users

Cause: an operator needs the format, a file to start from and the words. explain also says how a call without a rule is treated. The example files and the page's example are parsed by a test.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,9 +8,11 @@
 use clap::Parser;
 use clap::Subcommand;
 
+use crate::coordination::treatment::Treatment;
 use crate::policy::Policy;
 use crate::policy::describe::explain;
 use crate::policy::diff::diff;
+use crate::policy::value::duration_text;
 
 /// Overload control for service call graphs.
 #[derive(Debug, Parser)]
@@ -125,9 +127,30 @@
     };
     let explanation = explain(&policy, method, service, path);
     write!(out, "{explanation}")?;
+    if !explanation.found {
+        write_default(method, out)?;
+    }
     Ok(Exit::good_if(explanation.found))
 }
 
+/// Says how a call is treated that no rule governs.
+fn write_default<O>(method: &str, out: &mut O) -> io::Result<()>
+where
+    O: Write,
+{
+    let treatment = Treatment::new(None, method);
+    writeln!(out, "It is treated by default:")?;
+    writeln!(out, "    priority      {}", treatment.priority)?;
+    writeln!(out, "    idempotent    {}", yes_no(treatment.idempotent))?;
+    writeln!(
+        out,
+        "    timeout       {}",
+        duration_text(treatment.timeout)
+    )?;
+    writeln!(out, "    retries       at most {}", treatment.spare)?;
+    writeln!(out, "    cross-region  {}", yes_no(treatment.cross_region))
+}
+
 fn run_diff<O, E>(old: &Path, new: &Path, out: &mut O, err: &mut E) -> io::Result<Exit>
 where
     O: Write,
@@ -171,6 +194,10 @@
     }
 }
 
+fn yes_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
 fn counted(n: usize, noun: &str) -> String {
     match n {
         1 => format!("1 {noun}"),
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,5 +1,7 @@
 //! The policy file: what is accepted, what is rejected and where, which rule governs a call.
 
+use std::fs;
+use std::path::Path;
 use std::time::Duration;
 
 use dragonflylead::Policy;
@@ -374,3 +376,28 @@
     let policy = Policy::parse(GOOD).unwrap();
     assert_eq!(Policy::parse(&policy.to_string()), Ok(policy));
 }
+
+#[test]
+fn the_published_policies_are_accepted() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
+    let page = fs::read_to_string(docs.join("POLICY.md")).unwrap();
+    let block = page
+        .split("```ini\n")
+        .nth(1)
+        .and_then(|rest| rest.split("```").next());
+    let texts = [
+        block.unwrap().to_owned(),
+        fs::read_to_string(docs.join("examples/saafdabba.ini")).unwrap(),
+        fs::read_to_string(docs.join("examples/pastoreo.ini")).unwrap(),
+    ];
+    for text in texts {
+        let policy = Policy::parse(&text).unwrap();
+        assert!(
+            policy
+                .calls
+                .iter()
+                .any(|rule| !rule.idempotent && rule.priority == Priority::Critical)
+        );
+        assert!(!policy.services.is_empty() && !policy.links.is_empty() && !policy.slos.is_empty());
+    }
+}
