Bound the search for nearest names in a policy with many errors

Cause: a text of 1 MiB whose calls name services that do not exist compared each with every listed service. Names too far apart are now given up early, nothing is searched once the list of errors is full, and 100 instead of 200 errors are listed.

--- a/src/policy/error.rs
+++ b/src/policy/error.rs
@@ -6,7 +6,7 @@
 use strum::EnumIter;
 
 /// Most errors that are kept of one text; further ones are counted.
-pub const MAX_ERRORS: usize = 200;
+pub const MAX_ERRORS: usize = 100;
 
 /// Longest excerpt of the text that an error repeats, in characters.
 pub const MAX_EXCERPT_CHARS: usize = 64;
--- a/src/policy/fields.rs
+++ b/src/policy/fields.rs
@@ -92,7 +92,7 @@
         let key = Word { text: key, ..word };
         if !known.contains(&key.text) {
             let allowed = format!("allowed: {}", known.join(", "));
-            let near = nearest(key.text, known.iter().copied());
+            let near = self.nearest(key.text, known);
             self.report(key, PolicyErrorKind::UnknownKey, &allowed, near);
             return;
         }
@@ -137,6 +137,14 @@
         self.report(word, PolicyErrorKind::Impossible, reason, None);
     }
 
+    /// Returns the nearest name, as long as errors are listed.
+    fn nearest<'n>(&self, word: &str, names: &[&'n str]) -> Option<&'n str> {
+        if self.errors.is_full() {
+            return None;
+        }
+        nearest(word, names.iter().copied())
+    }
+
     fn key(&self, key: &str) -> Option<Word<'a>> {
         let found = self.settings.iter().find(|s| s.key.text == key)?;
         Some(found.key)
@@ -156,7 +164,7 @@
         match read(word.text) {
             Ok(value) => Some(value),
             Err(allowed) => {
-                let near = nearest(word.text, allowed.names.iter().copied());
+                let near = self.nearest(word.text, allowed.names);
                 self.report(word, PolicyErrorKind::InvalidValue, &allowed.text, near);
                 None
             }
--- a/src/policy/nearest.rs
+++ b/src/policy/nearest.rs
@@ -3,8 +3,6 @@
 /// Longest name that is compared, in characters.
 const MAX_NAME_CHARS: usize = 64;
 
-const MAX_UTF8_BYTES: usize = 4;
-
 /// Returns the name with the smallest edit distance to `word`, if it is near enough to be meant.
 ///
 /// At most a third of the characters may differ, and at least one always may. Of equally near
@@ -20,16 +18,17 @@
     let limit = (chars.len() / 3).max(1);
     names
         .into_iter()
-        .filter(|name| name.len().abs_diff(word.len()) <= limit * MAX_UTF8_BYTES)
-        .map(|name| (distance(&chars, name), name))
-        .filter(|(distance, _)| *distance <= limit)
+        .filter_map(|name| Some((distance(&chars, name, limit)?, name)))
         .min_by_key(|(distance, _)| *distance)
         .map(|(_, name)| name)
 }
 
-/// Edit distance with insertions, deletions, replacements and swaps of neighbours.
-fn distance(word: &[char], name: &str) -> usize {
-    let name: Vec<char> = name.chars().collect();
+/// Edit distance with insertions, deletions, replacements and swaps of neighbours, up to `limit`.
+fn distance(word: &[char], name: &str, limit: usize) -> Option<usize> {
+    let name: Vec<char> = name.chars().take(MAX_NAME_CHARS).collect();
+    if name.len().abs_diff(word.len()) > limit {
+        return None;
+    }
     let mut before: Vec<usize> = Vec::new();
     let mut last: Vec<usize> = (0..=name.len()).collect();
     for i in 1..=word.len() {
@@ -44,8 +43,11 @@
             }
             row.push(best);
         }
+        if row.iter().min() > Some(&limit) {
+            return None;
+        }
         before = last;
         last = row;
     }
-    last[name.len()]
+    Some(last[name.len()]).filter(|distance| *distance <= limit)
 }
--- a/src/policy/parse.rs
+++ b/src/policy/parse.rs
@@ -126,7 +126,11 @@
         }
         self.place = Place::Unknown;
         let allowed = format!("allowed: {}", Section::VARIANTS.join(", "));
-        let near = nearest(name.text, Section::VARIANTS.iter().copied());
+        let known = Section::VARIANTS.iter().copied();
+        let near = match self.errors.is_full() {
+            true => None,
+            false => nearest(name.text, known),
+        };
         let kind = PolicyErrorKind::UnknownSection;
         self.report(number, name, kind, &allowed, near);
     }
