--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -16,6 +16,8 @@
 use dragonflylead::settings::Settings;
 use dragonflylead::settings::table::Fallback;
 use dragonflylead::settings::table::KEYS;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const MINIMAL: &str = "\
 [instance]
@@ -172,3 +174,30 @@
     }
     page::assert_page("SETTINGS.md", &text);
 }
+
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5e77),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    #[test]
+    fn no_text_panics(text in "(?s).{0,200}") {
+        prop_assert!(Settings::parse(&text, "node.ini").is_err());
+    }
+
+    #[test]
+    fn no_value_panics(at in 0..KEYS.len(), value in "\\PC{0,40}|[0-9]{1,24}(ms|s|m|KiB|GiB)?") {
+        let key = &KEYS[at];
+        let text = format!("{MINIMAL}[{}]\n{} = {value}\n", key.section, key.name);
+        if let Err(errors) = Settings::parse(&text, "node.ini") {
+            prop_assert!(errors.to_string().contains(&format!("[{}] {}", key.section, key.name)), "{}", errors);
+        }
+    }
+}
