--- a/src/coordination/control/message.rs
+++ b/src/coordination/control/message.rs
@@ -44,6 +44,8 @@
 pub struct Status {
     /// Failure domain of the node.
     pub domain: DomainName,
+    /// Address of its peer port.
+    pub address: SocketAddr,
     /// Configuration in force.
     pub config: Stamp,
     /// Instance list.
--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -194,11 +194,16 @@
         self.config.revision()
     }
 
-    /// Returns whether the node may act on its view.
+    /// Returns whether the view is confirmed, unless the process was paused since the last event.
     pub fn is_ready(&self) -> bool {
         self.phase.is_ready()
     }
 
+    /// Returns whether the node may act on its view at `now`.
+    pub fn acts_at(&self, now: Time) -> bool {
+        self.is_ready() && !self.was_paused(now)
+    }
+
     /// Returns the configuration.
     pub fn config(&self) -> &ConfigState {
         &self.config
@@ -213,6 +218,7 @@
     pub fn status(&self) -> Status {
         Status {
             domain: self.me.domain.clone(),
+            address: self.me.peer,
             config: self.config.document().stamp(),
             list: self.list.stamp(),
             ready: self.is_ready(),
@@ -357,9 +363,13 @@
         self.changed = true;
     }
 
-    fn notice_pause(&mut self, now: Time) {
+    fn was_paused(&self, now: Time) -> bool {
         let gap = self.last_tick.map(|last| now.since(last));
-        if gap.is_some_and(|gap| gap > self.pace.tick + self.pace.pause) {
+        gap.is_some_and(|gap| gap > self.pace.tick + self.pace.pause)
+    }
+
+    fn notice_pause(&mut self, now: Time) {
+        if self.was_paused(now) {
             self.check_view();
             self.last_tick = Some(now);
         }
--- a/src/coordination/control/platform.rs
+++ b/src/coordination/control/platform.rs
@@ -134,17 +134,16 @@
         R: Rng,
     {
         let state = &self.watches[kind as usize];
-        if state.failures > 0 {
-            return reader::backoff(state.failures, rng);
-        }
-        if state.started {
-            return reader::CALL_GAP;
-        }
         let listless = self.list.stamp().revision == Revision::default();
-        if !listless {
-            return Duration::ZERO;
-        }
         let spread = reader::start_spread(self.fleet_size);
-        spread.mul_f64(rng.random_range(0.0..1.0))
+        match (listless, state.started) {
+            (true, false) => spread.mul_f64(rng.random_range(0.0..1.0)),
+            (true, true) => {
+                let again = spread.mul_f64(rng.random_range(0.5..1.5));
+                again + reader::backoff(state.failures, rng)
+            }
+            (false, false) => Duration::ZERO,
+            (false, true) => reader::backoff(state.failures, rng).max(reader::CALL_GAP),
+        }
     }
 }
--- a/src/coordination/control/spread.rs
+++ b/src/coordination/control/spread.rs
@@ -60,7 +60,7 @@
         let reply = match request {
             Request::Exchange(theirs) => {
                 let reply = Reply::Exchanged(Box::new(self.exchanged(&theirs)));
-                let contact = self.members.get(&from.name).map(contact);
+                let contact = self.contact_of(from, &theirs);
                 self.pull_if_newer(now, contact, &theirs, rng, &mut actions);
                 reply
             }
@@ -292,6 +292,19 @@
         self.pull_if_newer(now, Some(to.clone()), &exchanged.status, rng, actions);
     }
 
+    /// Returns how to reach an asker. A node without a list remembers it, to ask it in turn.
+    fn contact_of(&mut self, from: &Peer, theirs: &Status) -> Option<Contact> {
+        if self.list.stamp().revision == Revision::default() {
+            let asker = Contact {
+                name: Some(from.name.clone()),
+                address: theirs.address,
+            };
+            self.phase.learn_asker(asker.clone());
+            return Some(asker);
+        }
+        self.members.get(&from.name).map(contact)
+    }
+
     /// Asks for what a peer has and this node has not.
     fn pull_if_newer<R>(
         &mut self,
--- a/src/coordination/control/startup.rs
+++ b/src/coordination/control/startup.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Remembers a peer that asked, if no better contact is known.
+    pub(super) fn learn_asker(&mut self, asker: Contact) {
+        if self.readers.is_empty() {
+            self.readers.push(asker);
+        }
+    }
+
     pub(super) fn learned_readers(&self) -> &[Contact] {
         &self.readers
     }
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -85,6 +85,8 @@
     pub back: f64,
     /// All nodes start at once.
     pub start: f64,
+    /// All nodes start at once while the platform is away.
+    pub start_away: f64,
 }
 
 /// Works out the platform calls of a fleet.
@@ -106,5 +108,6 @@
         away_first: watches * 2.0,
         back: watches / half,
         start: size as f64 / spread + watches / half,
+        start_away: size as f64 / spread,
     }
 }
