Peer port and running control plane

Nodes talk by jsonrpsee over one method whose messages carry version, sender, receiver and an HMAC of the fleet key; another version, another receiver or a wrong signature is refused with its reason. ControlPlane drives the decisions: peer port, platform watches, ticks, and publishes the view.

--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -116,6 +116,7 @@
     accept: Accept,
     config: ConfigState,
     list: Document,
+    services: BTreeSet<ServiceName>,
     logs: [DeltaLog; 2],
     outbox: [Option<Outbox>; 2],
     watches: [WatchState; 2],
@@ -144,11 +145,10 @@
 impl Control {
     /// Builds the control plane of a node that just started.
     pub fn new(settings: ControlSettings) -> Control {
-        let mut wanted = BTreeSet::from([
-            Section::Global,
-            Section::Service(settings.instance.service.clone()),
-        ]);
-        wanted.extend(settings.calls.into_iter().map(Section::Service));
+        let mut services: BTreeSet<ServiceName> = settings.calls.into_iter().collect();
+        services.insert(settings.instance.service.clone());
+        let mut wanted = BTreeSet::from([Section::Global]);
+        wanted.extend(services.iter().cloned().map(Section::Service));
         let mut listed = wanted.clone();
         listed.insert(Section::Domain(settings.instance.domain.clone()));
         Control {
@@ -160,6 +160,7 @@
             accept: settings.accept,
             config: ConfigState::new(wanted),
             list: Document::new(listed),
+            services,
             logs: Default::default(),
             outbox: [None, None],
             watches: Default::default(),
@@ -250,11 +251,18 @@
         self.config.document().holds(&section) && self.list.holds(&section)
     }
 
+    /// Returns whether rules and instances of `service` are needed.
+    pub fn wants(&self, service: &ServiceName) -> bool {
+        self.services.contains(service)
+    }
+
     /// Adds a service whose rules and instances are needed from now on.
     pub fn want<R>(&mut self, now: Time, service: &ServiceName, rng: &mut R) -> Vec<Action>
     where
         R: Rng,
     {
+        self.services.insert(service.clone());
+        self.changed = true;
         let section = Section::Service(service.clone());
         let fetch = [
             self.config.want(section.clone()),
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -66,21 +66,35 @@
     /// Encodes and signs a hop.
     pub fn sign(&self, hop: &Hop) -> String {
         let json = serde_json::to_string(hop).expect("a hop is always representable");
+        format!("{}.{json}", self.signature(&json))
+    }
+
+    /// Returns the signature of a text, in hexadecimal.
+    pub fn signature(&self, text: &str) -> String {
         let mut mac = self.keys[0].clone();
-        mac.update(json.as_bytes());
-        format!("{}.{json}", hex(&mac.finalize().into_bytes()))
+        mac.update(text.as_bytes());
+        hex(&mac.finalize().into_bytes())
+    }
+
+    /// Returns whether `signature` is that of a text by any accepted key.
+    pub fn is_genuine(&self, text: &str, signature: &str) -> bool {
+        let Some(signature) = unhex(signature) else {
+            return false;
+        };
+        self.keys.iter().any(|key| {
+            let mut mac = key.clone();
+            mac.update(text.as_bytes());
+            mac.verify_slice(&signature).is_ok()
+        })
     }
 
     /// Decodes a hop and checks its signature.
     pub fn verify(&self, text: &str) -> Result<Hop, HopError> {
         let (signature, json) = text.split_once('.').ok_or(HopError::Malformed)?;
-        let signature = unhex(signature).ok_or(HopError::Malformed)?;
-        let genuine = self.keys.iter().any(|key| {
-            let mut mac = key.clone();
-            mac.update(json.as_bytes());
-            mac.verify_slice(&signature).is_ok()
-        });
-        if !genuine {
+        if unhex(signature).is_none() {
+            return Err(HopError::Malformed);
+        }
+        if !self.is_genuine(json, signature) {
             return Err(HopError::Forged);
         }
         let hop: Hop = serde_json::from_str(json).map_err(|_| HopError::Malformed)?;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,3 +3,4 @@
 pub mod answer;
 pub mod header;
 pub mod hop;
+pub mod peer;
--- a/src/state/lock.rs
+++ b/src/state/lock.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
 pub enum Rank {
+    /// State of the control plane.
+    Control = 0,
     /// Views of the fleet and the configuration.
     Fleet = 1,
     /// Running calls and their leases.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod abort;
 pub mod body;
+pub mod control;
 pub mod egress;
 pub mod forward;
 pub mod head;
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -1,1 +1,293 @@
-//! Node-to-node messages by JSON-RPC.
+//! The port between nodes, by jsonrpsee: signed messages, asked and answered.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::JsonRawValue;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use jsonrpsee::types::ErrorObjectOwned;
+
+use crate::call::RequestId;
+use crate::coordination::control;
+use crate::coordination::control::Peer;
+use crate::coordination::poison::CrashReport;
+use crate::instance::InstanceName;
+use crate::protocol::hop::Keyring;
+use crate::protocol::peer::Envelope;
+use crate::protocol::peer::MAX_TOKENS_ASKED;
+use crate::protocol::peer::PeerReply;
+use crate::protocol::peer::PeerRequest;
+use crate::protocol::peer::Refusal;
+
+/// The only method of the port.
+const METHOD: &str = "peer";
+
+/// Code of the error object that carries a [`Refusal`].
+const REFUSED: i32 = -32_010;
+
+/// Largest message that is taken, in bytes.
+const MAX_REQUEST_BYTES: u32 = 2 * 1024 * 1024;
+
+/// Largest answer that is taken, in bytes: the instance list of a whole fleet.
+const MAX_REPLY_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Connections that the port accepts at once.
+const MAX_CONNECTIONS: u32 = 1_024;
+
+/// Peers to which connections are kept open.
+const MAX_CLIENTS: usize = 64;
+
+/// Time after which an unanswered message has failed.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Takes configuration and membership messages.
+pub type TakeControl = Box<dyn Fn(&Peer, control::Request) -> control::Reply + Send + Sync>;
+
+/// Takes reports of crashed targets.
+pub type TakeCrash = Box<dyn Fn(&Peer, CrashReport) + Send + Sync>;
+
+/// Takes cancellations.
+pub type TakeCancel = Box<dyn Fn(&Peer, RequestId) + Send + Sync>;
+
+/// Issues idempotency tokens.
+pub type TakeMint = Box<dyn Fn(&Peer, u16) -> Vec<String> + Send + Sync>;
+
+/// What the port does with each kind of message.
+pub struct PeerHandlers {
+    /// Configuration and membership.
+    pub control: TakeControl,
+    /// Crash reports.
+    pub crash: TakeCrash,
+    /// Cancellations.
+    pub cancel: TakeCancel,
+    /// Idempotency tokens.
+    pub mint: TakeMint,
+}
+
+impl fmt::Debug for PeerHandlers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerHandlers").finish_non_exhaustive()
+    }
+}
+
+impl PeerHandlers {
+    fn take(&self, from: &Peer, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Control(request) => PeerReply::Control((self.control)(from, request)),
+            PeerRequest::Crash(report) => {
+                (self.crash)(from, report);
+                PeerReply::Done
+            }
+            PeerRequest::Cancel(id) => {
+                (self.cancel)(from, id);
+                PeerReply::Done
+            }
+            PeerRequest::Mint(count) => {
+                PeerReply::Tokens((self.mint)(from, count.min(MAX_TOKENS_ASKED)))
+            }
+        }
+    }
+}
+
+/// A running port. It stops when it is dropped.
+#[derive(Debug)]
+pub struct PeerServer {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+struct Port {
+    me: Peer,
+    keys: Keyring,
+    handlers: PeerHandlers,
+}
+
+impl PeerServer {
+    /// Serves the port on `listener`.
+    pub fn start(
+        listener: TcpListener,
+        me: Peer,
+        keys: Keyring,
+        handlers: PeerHandlers,
+    ) -> io::Result<PeerServer> {
+        let cfg = ServerConfig::builder()
+            .http_only()
+            .max_request_body_size(MAX_REQUEST_BYTES)
+            .max_response_body_size(MAX_REPLY_BYTES)
+            .max_connections(MAX_CONNECTIONS)
+            .set_tcp_no_delay(true)
+            .build();
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let server = Server::builder().set_config(cfg).build_from_tcp(listener)?;
+        let mut module = RpcModule::new(Port { me, keys, handlers });
+        module
+            .register_method(METHOD, |params, port, _| {
+                let signed = params.parse::<(String, &JsonRawValue)>();
+                let (signature, text) = signed.map_err(|_| refuse(Refusal::Malformed))?;
+                port.take(text.get(), &signature).map_err(refuse)
+            })
+            .expect("the method is registered once");
+        Ok(PeerServer {
+            address,
+            handle: server.start(module),
+        })
+    }
+
+    /// Returns the address that the port is bound to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        let _ = self.handle.stop();
+    }
+}
+
+impl Port {
+    fn take(&self, text: &str, signature: &str) -> Result<(String, Box<JsonRawValue>), Refusal> {
+        let asked = Envelope::open(text, signature, &self.keys, &self.me.name)?;
+        let reply = self.handlers.take(&asked.from, asked.body);
+        let to = Some(asked.from.name);
+        let reply = Envelope::new(self.me.clone(), to, asked.sequence, reply);
+        Ok(seal(&reply.seal(&self.keys)))
+    }
+}
+
+fn seal((text, signature): &(String, String)) -> (String, Box<JsonRawValue>) {
+    let raw = JsonRawValue::from_string(text.clone()).expect("a message is valid JSON");
+    (signature.clone(), raw)
+}
+
+fn refuse(refusal: Refusal) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(REFUSED, refusal.to_string(), Some(refusal))
+}
+
+/// Why a message was not answered.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// The peer refused it, or its answer was refused.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+    /// The peer cannot be reached from here.
+    #[error("peer cannot be reached")]
+    Unreachable,
+    /// The peer did not answer.
+    #[error("peer did not answer: {0}")]
+    Call(ClientError),
+    /// The answer is of another kind than the question.
+    #[error("peer answered another kind of message")]
+    OtherKind,
+}
+
+impl From<ClientError> for PeerError {
+    fn from(e: ClientError) -> PeerError {
+        let refusal = match &e {
+            ClientError::Call(object) if object.code() == REFUSED => object
+                .data()
+                .and_then(|data| serde_json::from_str(data.get()).ok()),
+            _ => None,
+        };
+        refusal.map_or(PeerError::Call(e), PeerError::Refused)
+    }
+}
+
+/// Sends messages to other nodes.
+pub struct PeerClient {
+    me: Peer,
+    keys: Keyring,
+    sequence: AtomicU64,
+    clients: Mutex<Clients>,
+}
+
+#[derive(Default)]
+struct Clients {
+    open: BTreeMap<SocketAddr, (u64, Arc<HttpClient>)>,
+    uses: u64,
+}
+
+impl fmt::Debug for PeerClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerClient")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl PeerClient {
+    /// Builds a client that speaks for `me`.
+    pub fn new(me: Peer, keys: Keyring) -> PeerClient {
+        PeerClient {
+            me,
+            keys,
+            sequence: AtomicU64::new(1),
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Sends a message and returns who answered, and what.
+    pub async fn ask(
+        &self,
+        to: Option<&InstanceName>,
+        address: SocketAddr,
+        request: PeerRequest,
+    ) -> Result<(Peer, PeerReply), PeerError> {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let asked = Envelope::new(self.me.clone(), to.cloned(), sequence, request);
+        let (signature, text) = seal(&asked.seal(&self.keys));
+        let client = self.client(address)?;
+        let (signature, text): (String, Box<JsonRawValue>) =
+            client.request(METHOD, rpc_params![signature, text]).await?;
+        let reply: Envelope<PeerReply> =
+            Envelope::open(text.get(), &signature, &self.keys, &self.me.name)?;
+        if reply.sequence != sequence {
+            return Err(Refusal::OtherQuestion.into());
+        }
+        if let Some(to) = to.filter(|to| **to != reply.from.name) {
+            return Err(Refusal::OtherInstance(to.clone()).into());
+        }
+        Ok((reply.from, reply.body))
+    }
+
+    /// Returns the client of an address, closing the one that was used the longest ago.
+    fn client(&self, address: SocketAddr) -> Result<Arc<HttpClient>, ClientError> {
+        let mut clients = self.clients.lock().unwrap_or_else(|p| p.into_inner());
+        clients.uses += 1;
+        let uses = clients.uses;
+        if let Some((used, client)) = clients.open.get_mut(&address) {
+            *used = uses;
+            return Ok(client.clone());
+        }
+        if clients.open.len() >= MAX_CLIENTS {
+            let oldest = clients.open.iter().min_by_key(|(_, (used, _))| *used);
+            let oldest = oldest.map(|(address, _)| *address);
+            oldest.map(|address| clients.open.remove(&address));
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(REQUEST_TIMEOUT)
+            .max_request_size(MAX_REQUEST_BYTES)
+            .max_response_size(MAX_REPLY_BYTES)
+            .build(format!("http://{address}"))?;
+        let client = Arc::new(client);
+        clients.open.insert(address, (uses, client.clone()));
+        Ok(client)
+    }
+}
