--- /dev/null
+++ b/src/coordination/control/exchange.rs
@@ -0,0 +1,295 @@
+//! Comparing with other nodes, and repairing what differs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+
+use crate::clock::Time;
+use crate::coordination::control::Action;
+use crate::coordination::control::Contact;
+use crate::coordination::control::Control;
+use crate::coordination::control::Exchanged;
+use crate::coordination::control::Kind;
+use crate::coordination::control::Peer;
+use crate::coordination::control::Request;
+use crate::coordination::control::Status;
+use crate::coordination::control::contact;
+use crate::coordination::control::name;
+use crate::coordination::document::Applied;
+use crate::coordination::document::Repair;
+use crate::coordination::document::RepairRequest;
+use crate::coordination::document::Revision;
+use crate::coordination::members::Member;
+use crate::coordination::reader;
+use crate::instance::DomainName;
+use crate::instance::InstanceName;
+
+impl Control {
+    pub(super) fn exchange_with(&self, to: Contact) -> Action {
+        Action::Send {
+            to,
+            request: Request::Exchange(self.status()),
+            tries: 0,
+        }
+    }
+
+    pub(super) fn exchanged(&self, theirs: &Status) -> Exchanged {
+        let chain = |kind: Kind| {
+            let stamp = self.document(kind).stamp();
+            let newer = stamp.revision > theirs.stamp(kind).revision;
+            let log = newer.then_some(&self.logs[kind as usize]);
+            log.map_or_else(Vec::new, |l| l.chain(theirs.stamp(kind).digest, stamp))
+        };
+        let listless = theirs.list.revision == Revision::default();
+        let readers = if listless {
+            self.readers_here()
+        } else {
+            Vec::new()
+        };
+        Exchanged {
+            status: self.status(),
+            config: chain(Kind::Config),
+            list: chain(Kind::List),
+            rejection: self.config.rejection().cloned(),
+            readers,
+        }
+    }
+
+    pub(super) fn take_exchanged<R>(
+        &mut self,
+        now: Time,
+        to: &Contact,
+        exchanged: Exchanged,
+        rng: &mut R,
+        actions: &mut Vec<Action>,
+    ) where
+        R: Rng,
+    {
+        if let Some(rejection) = &exchanged.rejection {
+            self.config.note_rejection(rejection);
+        }
+        let far = exchanged.status.domain != self.me.domain && self.is_reader();
+        for kind in Kind::BOTH {
+            for delta in exchanged.deltas(kind) {
+                if self.apply(now, kind, delta) == Applied::Done && far {
+                    self.spread(now, kind, delta.clone());
+                }
+            }
+        }
+        self.phase.answered(to, &self.me.domain, &exchanged.status);
+        self.phase.learn_readers(exchanged.readers);
+        self.pull_if_newer(now, Some(to.clone()), &exchanged.status, rng, actions);
+    }
+
+    /// Returns how to reach an asker. A node without a list remembers it, to ask it in turn.
+    pub(super) fn contact_of(&mut self, from: &Peer, theirs: &Status) -> Option<Contact> {
+        if self.list.stamp().revision == Revision::default() {
+            let asker = Contact {
+                name: Some(from.name.clone()),
+                address: theirs.address,
+            };
+            self.phase.learn_asker(asker.clone());
+            return Some(asker);
+        }
+        self.members.get(&from.name).map(contact)
+    }
+
+    /// Asks for what a peer has and this node has not.
+    pub(super) fn pull_if_newer<R>(
+        &mut self,
+        now: Time,
+        from: Option<Contact>,
+        theirs: &Status,
+        rng: &mut R,
+        actions: &mut Vec<Action>,
+    ) where
+        R: Rng,
+    {
+        let whom = from.filter(|_| theirs.complete);
+        for kind in Kind::BOTH {
+            if theirs.stamp(kind).revision > self.document(kind).stamp().revision {
+                self.ask_repair(now, kind, whom.clone(), rng, actions);
+            }
+        }
+    }
+
+    /// Asks a node that holds everything for the sections that differ, one request at a time.
+    pub(super) fn ask_repair<R>(
+        &mut self,
+        now: Time,
+        kind: Kind,
+        whom: Option<Contact>,
+        rng: &mut R,
+        actions: &mut Vec<Action>,
+    ) where
+        R: Rng,
+    {
+        if now < self.repair_until[kind as usize] {
+            return;
+        }
+        let Some(to) = whom.or_else(|| self.draw_reader(rng)) else {
+            return;
+        };
+        self.repair_until[kind as usize] = now.plus(self.pace.repair);
+        let all = self.is_reader();
+        let request = Request::Repair {
+            kind,
+            request: self.document(kind).repair_request(all),
+        };
+        actions.push(Action::Send {
+            to,
+            request,
+            tries: 0,
+        });
+    }
+
+    pub(super) fn take_repair(
+        &mut self,
+        now: Time,
+        kind: Kind,
+        request: &RepairRequest,
+        repair: Option<Repair>,
+        near: bool,
+    ) {
+        self.repair_until[kind as usize] = Time::ZERO;
+        let Some(repair) = repair else {
+            self.repair_until[kind as usize] = now.plus(self.pace.repair);
+            return;
+        };
+        let before = self.document(kind).stamp();
+        let (applied, delta) = match kind {
+            Kind::Config => self.config.apply_repair(repair, request),
+            Kind::List => self.list.apply_repair(repair, request),
+        };
+        if applied != Applied::Done {
+            return;
+        }
+        self.document_changed(now, kind);
+        let newer = self.document(kind).stamp() != before;
+        let Some(delta) = delta.filter(|_| newer) else {
+            return;
+        };
+        if near {
+            self.logs[kind as usize].keep(&delta);
+        } else {
+            self.spread(now, kind, delta);
+        }
+    }
+
+    /// Repairs what is missing: needed sections, or everything at a reader.
+    pub(super) fn repair_regularly<R>(&mut self, now: Time, rng: &mut R, actions: &mut Vec<Action>)
+    where
+        R: Rng,
+    {
+        let reader = self.is_reader();
+        for kind in Kind::BOTH {
+            let document = self.document(kind);
+            let incomplete = reader && !document.is_complete();
+            if incomplete || document.has_missing() {
+                self.ask_repair(now, kind, None, rng, actions);
+            }
+        }
+    }
+
+    /// Draws a reader of the own domain, or of any other if there is none.
+    fn draw_reader<R>(&self, rng: &mut R) -> Option<Contact>
+    where
+        R: Rng,
+    {
+        let near = self.readers_here();
+        let me = &self.me.name;
+        let near: Vec<&Contact> = near
+            .iter()
+            .filter(|c| c.name.as_ref() != Some(me))
+            .collect();
+        let learned = self.phase.learned_readers();
+        let far = near.is_empty() || (self.is_reader() && rng.random_ratio(1, 4));
+        if far && let Some(reader) = self.draw_far_reader(rng) {
+            return Some(reader);
+        }
+        let near = near.choose(rng).map(|c| (*c).clone());
+        near.or_else(|| learned.choose(rng).cloned())
+    }
+
+    fn readers_here(&self) -> Vec<Contact> {
+        let here = |n: &InstanceName| {
+            if *n == self.me.name {
+                return Some(Contact {
+                    name: Some(n.clone()),
+                    address: self.me.peer,
+                });
+            }
+            self.members.get(n).map(contact)
+        };
+        self.readers.iter().filter_map(here).collect()
+    }
+
+    /// Draws a reader of another domain, each domain as likely.
+    fn draw_far_reader<R>(&self, rng: &mut R) -> Option<Contact>
+    where
+        R: Rng,
+    {
+        let mut domains: BTreeMap<&DomainName, Vec<&InstanceName>> = BTreeMap::new();
+        let reachable = self.members.iter().filter(|m| m.is_reachable());
+        for member in reachable.filter(|m| m.instance.domain != self.me.domain) {
+            let names = domains.entry(&member.instance.domain).or_default();
+            names.push(name(member));
+        }
+        let domains: Vec<Vec<&InstanceName>> = domains.into_values().collect();
+        let names = domains.choose(rng)?;
+        let readers = reader::readers(names.iter().copied());
+        let chosen = readers.choose(rng)?;
+        self.members.get(chosen).map(contact)
+    }
+
+    /// Compares with a member of the domain, and as a reader with a reader of another domain.
+    pub(super) fn exchange_regularly<R>(
+        &mut self,
+        now: Time,
+        rng: &mut R,
+        actions: &mut Vec<Action>,
+    ) where
+        R: Rng,
+    {
+        if now >= self.next_exchange {
+            self.next_exchange = now.plus(around(self.pace.exchange, rng));
+            let peers: Vec<&Member> = self.domain_peers().collect();
+            let chosen = self.members.doubted(rng).or(peers.choose(rng).copied());
+            actions.extend(chosen.map(|m| self.exchange_with(contact(m))));
+            actions.extend(self.probe_unreachable(rng));
+        }
+        if now >= self.next_cross && self.is_reader() {
+            self.next_cross = now.plus(around(self.pace.cross, rng));
+            let chosen = self.draw_far_reader(rng);
+            actions.extend(chosen.map(|to| self.exchange_with(to)));
+        }
+    }
+
+    /// Tries an instance that did not answer lately, so that a healed partition is noticed.
+    fn probe_unreachable<R>(&self, rng: &mut R) -> Option<Action>
+    where
+        R: Rng,
+    {
+        let reader = self.is_reader();
+        let here = |m: &&Member| reader || m.instance.domain == self.me.domain;
+        let lost: Vec<&Member> = self
+            .members
+            .iter()
+            .filter(|m| !m.is_reachable() && m.instance.name != self.me.name)
+            .filter(here)
+            .collect();
+        let chosen = lost.choose(rng)?;
+        Some(self.exchange_with(contact(chosen)))
+    }
+}
+
+/// Draws a span around `mean`, so that nodes do not act in step.
+fn around<R>(mean: Duration, rng: &mut R) -> Duration
+where
+    R: Rng,
+{
+    mean.mul_f64(rng.random_range(0.5..1.5))
+}
--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -3,8 +3,10 @@
 //! The owner reports ticks, requests, replies and platform answers; each returns the actions that
 //! follow. The daemon, the tests and the measurements drive the same code.
 
+mod exchange;
 mod message;
 mod platform;
+mod settings;
 mod spread;
 mod startup;
 
@@ -44,6 +46,9 @@
 pub use message::Status;
 pub use message::Watch;
 pub use platform::Answer;
+pub use settings::Accept;
+pub use settings::ControlSettings;
+pub use settings::Pace;
 
 use platform::WatchState;
 use spread::Outbox;
@@ -52,60 +57,6 @@
 /// Time after which a node that ceased to be a reader gives up the lines it does not need.
 const READER_LINGER: Duration = Duration::from_secs(60);
 
-/// Decides by the text alone whether a configuration is accepted.
-pub type Accept = Box<dyn Fn(&str) -> Result<(), String> + Send>;
-
-/// Spans between the regular actions of a control plane.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
-    /// Between two ticks.
-    pub tick: Duration,
-    /// Between two exchanges with a member of the same domain, on average.
-    pub exchange: Duration,
-    /// Between two exchanges of a reader with a reader of another domain, on average.
-    pub cross: Duration,
-    /// Time for which a reader gathers changes before it sends them.
-    pub coalesce: Duration,
-    /// Time that each reader gives the one before it to send a change.
-    pub stagger: Duration,
-    /// Silence after which a repair is asked for again.
-    pub repair: Duration,
-    /// Gap between two ticks, beyond the expected one, that counts as a process pause.
-    pub pause: Duration,
-}
-
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace {
-            tick: Duration::from_millis(200),
-            exchange: Duration::from_secs(3),
-            cross: Duration::from_secs(2),
-            coalesce: Duration::from_millis(200),
-            stagger: Duration::from_millis(500),
-            repair: Duration::from_secs(2),
-            pause: crate::timer::PAUSE_GAP,
-        }
-    }
-}
-
-/// What a control plane is told at its start.
-pub struct ControlSettings {
-    /// The instance beside which the node stands.
-    pub instance: Instance,
-    /// This life of the node, above those before it.
-    pub incarnation: Incarnation,
-    /// Services that the target calls.
-    pub calls: Vec<ServiceName>,
-    /// Peer ports that are asked before the list is known.
-    pub seeds: Vec<SocketAddr>,
-    /// Number of instances in the fleet, over which first calls to the platform are spread.
-    pub fleet_size: u64,
-    /// Spans between regular actions.
-    pub pace: Pace,
-    /// Decides whether a configuration is accepted.
-    pub accept: Accept,
-}
-
 /// The control plane of one node.
 pub struct Control {
     me: Instance,
