--- a/src/running.rs
+++ b/src/running.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
 
 use crate::coordination::admission::TICK;
@@ -98,6 +101,39 @@
     }
 }
 
+/// Runs a node until the process is told to terminate, and stops it gracefully.
+///
+/// # Errors
+///
+/// If the node cannot start, or requests are still in progress when the drain grace ends.
+pub async fn run(settings: Settings) -> io::Result<()> {
+    let grace = settings.drain_grace;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let starting = RunningNode::start(settings, rand::rng().next_u64());
+    let running = tokio::select! {
+        running = starting => running?,
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
+    };
+    log::info!(
+        ingress:% = running.ingress(),
+        egress:% = running.egress(),
+        peer:% = running.peer();
+        "serving"
+    );
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    log::info!("draining");
+    tokio::time::timeout(grace, running.stop())
+        .await
+        .map_err(|_| io::Error::other(format!("requests in progress after {grace:?}")))?;
+    log::info!("stopped");
+    Ok(())
+}
+
 async fn watch_instances(node: Arc<Node>, platform: PlatformClient) {
     let mut version = 0;
     loop {
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -25,6 +25,9 @@
 /// Longest body of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Path prefix that is answered with the request itself.
+pub const ECHO_PATH: &str = "/echo";
+
 /// A sub-call that a target makes for each request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SubCall {
@@ -186,6 +189,9 @@
         let Ok(body) = body else {
             return Response::build().status(Status::BadRequest).finalize();
         };
+        if path.starts_with(ECHO_PATH) {
+            return echo(req, &body.value);
+        }
         let index = self.note_start(&format!("{} {path}", req.method()), &operation);
         {
             let Ok(_slot) = self.slots.acquire().await else {
@@ -249,6 +255,21 @@
     }
 }
 
+/// Answers with the request as it was received, one header a line.
+fn echo<'r>(req: &Request<'_>, body: &[u8]) -> Response<'r> {
+    let mut lines = vec![format!("{} {}", req.method(), req.uri())];
+    lines.extend(
+        req.headers()
+            .iter()
+            .map(|h| format!("{}: {}", h.name, h.value)),
+    );
+    lines.push(format!("{:032x}", xxhash_rust::xxh3::xxh3_128(body)));
+    let text = lines.join("\n");
+    Response::build()
+        .sized_body(text.len(), io::Cursor::new(text))
+        .finalize()
+}
+
 fn refused<'r>() -> Response<'r> {
     Response::build()
         .status(Status::ServiceUnavailable)
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -17,12 +17,26 @@
 /// A request body that is still being sent on.
 pub type Pump<'r> = Fuse<BoxFuture<'r, ()>>;
 
+/// Start of a form in which Rocket looks for another method.
+const METHOD_OVERRIDE: &[u8] = b"_method=";
+
+const FORM: &str = "application/x-www-form-urlencoded";
+
 /// Reads the body of a request, holding it whole if it is small.
+///
+/// Rocket replaces the method of a POST by the one that a form names in its first field. The
+/// method that was sent is then lost, so that such a form is refused.
 pub async fn read_body<'r>(
     node: &Node,
     head: &Head,
-    data: Data<'r>,
+    mut data: Data<'r>,
 ) -> Result<RequestBody<'r>, NotRunKind> {
+    let is_form = head
+        .text("content-type")
+        .is_some_and(|text| text.starts_with(FORM));
+    if is_form && data.peek(METHOD_OVERRIDE.len()).await == METHOD_OVERRIDE {
+        return Err(NotRunKind::BadRequest);
+    }
     let length = head.number(http::header::CONTENT_LENGTH.as_str())?;
     let cfg = &node.settings.limits;
     RequestBody::read(
