--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -3,8 +3,10 @@
 //! The owner reports ticks, requests, replies and platform answers; each returns the actions that
 //! follow. The daemon, the tests and the measurements drive the same code.
 
+mod exchange;
 mod message;
 mod platform;
+mod settings;
 mod spread;
 mod startup;
 
@@ -44,6 +46,9 @@
 pub use message::Status;
 pub use message::Watch;
 pub use platform::Answer;
+pub use settings::Accept;
+pub use settings::ControlSettings;
+pub use settings::Pace;
 
 use platform::WatchState;
 use spread::Outbox;
@@ -52,60 +57,6 @@
 /// Time after which a node that ceased to be a reader gives up the lines it does not need.
 const READER_LINGER: Duration = Duration::from_secs(60);
 
-/// Decides by the text alone whether a configuration is accepted.
-pub type Accept = Box<dyn Fn(&str) -> Result<(), String> + Send>;
-
-/// Spans between the regular actions of a control plane.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
-    /// Between two ticks.
-    pub tick: Duration,
-    /// Between two exchanges with a member of the same domain, on average.
-    pub exchange: Duration,
-    /// Between two exchanges of a reader with a reader of another domain, on average.
-    pub cross: Duration,
-    /// Time for which a reader gathers changes before it sends them.
-    pub coalesce: Duration,
-    /// Time that each reader gives the one before it to send a change.
-    pub stagger: Duration,
-    /// Silence after which a repair is asked for again.
-    pub repair: Duration,
-    /// Gap between two ticks, beyond the expected one, that counts as a process pause.
-    pub pause: Duration,
-}
-
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace {
-            tick: Duration::from_millis(200),
-            exchange: Duration::from_secs(3),
-            cross: Duration::from_secs(2),
-            coalesce: Duration::from_millis(200),
-            stagger: Duration::from_millis(500),
-            repair: Duration::from_secs(2),
-            pause: crate::timer::PAUSE_GAP,
-        }
-    }
-}
-
-/// What a control plane is told at its start.
-pub struct ControlSettings {
-    /// The instance beside which the node stands.
-    pub instance: Instance,
-    /// This life of the node, above those before it.
-    pub incarnation: Incarnation,
-    /// Services that the target calls.
-    pub calls: Vec<ServiceName>,
-    /// Peer ports that are asked before the list is known.
-    pub seeds: Vec<SocketAddr>,
-    /// Number of instances in the fleet, over which first calls to the platform are spread.
-    pub fleet_size: u64,
-    /// Spans between regular actions.
-    pub pace: Pace,
-    /// Decides whether a configuration is accepted.
-    pub accept: Accept,
-}
-
 /// The control plane of one node.
 pub struct Control {
     me: Instance,
@@ -116,6 +67,7 @@
     accept: Accept,
     config: ConfigState,
     list: Document,
+    services: BTreeSet<ServiceName>,
     logs: [DeltaLog; 2],
     outbox: [Option<Outbox>; 2],
     watches: [WatchState; 2],
@@ -144,11 +96,10 @@
 impl Control {
     /// Builds the control plane of a node that just started.
     pub fn new(settings: ControlSettings) -> Control {
-        let mut wanted = BTreeSet::from([
-            Section::Global,
-            Section::Service(settings.instance.service.clone()),
-        ]);
-        wanted.extend(settings.calls.into_iter().map(Section::Service));
+        let mut services: BTreeSet<ServiceName> = settings.calls.into_iter().collect();
+        services.insert(settings.instance.service.clone());
+        let mut wanted = BTreeSet::from([Section::Global]);
+        wanted.extend(services.iter().cloned().map(Section::Service));
         let mut listed = wanted.clone();
         listed.insert(Section::Domain(settings.instance.domain.clone()));
         Control {
@@ -160,6 +111,7 @@
             accept: settings.accept,
             config: ConfigState::new(wanted),
             list: Document::new(listed),
+            services,
             logs: Default::default(),
             outbox: [None, None],
             watches: Default::default(),
@@ -194,11 +146,16 @@
         self.config.revision()
     }
 
-    /// Returns whether the node may act on its view.
+    /// Returns whether the view is confirmed, unless the process was paused since the last event.
     pub fn is_ready(&self) -> bool {
         self.phase.is_ready()
     }
 
+    /// Returns whether the node may act on its view at `now`.
+    pub fn acts_at(&self, now: Time) -> bool {
+        self.is_ready() && !self.was_paused(now)
+    }
+
     /// Returns the configuration.
     pub fn config(&self) -> &ConfigState {
         &self.config
@@ -213,6 +170,7 @@
     pub fn status(&self) -> Status {
         Status {
             domain: self.me.domain.clone(),
+            address: self.me.peer,
             config: self.config.document().stamp(),
             list: self.list.stamp(),
             ready: self.is_ready(),
@@ -244,11 +202,18 @@
         self.config.document().holds(&section) && self.list.holds(&section)
     }
 
+    /// Returns whether rules and instances of `service` are needed.
+    pub fn wants(&self, service: &ServiceName) -> bool {
+        self.services.contains(service)
+    }
+
     /// Adds a service whose rules and instances are needed from now on.
     pub fn want<R>(&mut self, now: Time, service: &ServiceName, rng: &mut R) -> Vec<Action>
     where
         R: Rng,
     {
+        self.services.insert(service.clone());
+        self.changed = true;
         let section = Section::Service(service.clone());
         let fetch = [
             self.config.want(section.clone()),
@@ -357,9 +322,13 @@
         self.changed = true;
     }
 
-    fn notice_pause(&mut self, now: Time) {
+    fn was_paused(&self, now: Time) -> bool {
         let gap = self.last_tick.map(|last| now.since(last));
-        if gap.is_some_and(|gap| gap > self.pace.tick + self.pace.pause) {
+        gap.is_some_and(|gap| gap > self.pace.tick + self.pace.pause)
+    }
+
+    fn notice_pause(&mut self, now: Time) {
+        if self.was_paused(now) {
             self.check_view();
             self.last_tick = Some(now);
         }
