Histories with lossy links, with lookups that hold every slot, and past the time to leave

Now a proxy between nodes breaks connections within answers, lookups run longer than a charge waits, and calls go on for twice the time that a leaving instance has.

--- a/tests/history.rs
+++ b/tests/history.rs
@@ -4,6 +4,8 @@
 mod checker;
 #[path = "history/client.rs"]
 mod client;
+#[path = "history/link.rs"]
+mod link;
 #[path = "history/recorder.rs"]
 mod recorder;
 #[path = "history/target.rs"]
@@ -19,10 +21,12 @@
 use checker::What;
 use client::UserRequest;
 use dragonflylead::Priority;
+use dragonflylead::UnknownKind;
 use http::Method;
 use target::Behaviour;
 use target::Faults;
 use target::SubCall;
+use world::DRAIN;
 use world::Service;
 use world::World;
 use world::assert_kept;
@@ -81,6 +85,7 @@
         instances: 2,
         behaviour: Behaviour {
             service_time: Duration::from_millis(2),
+            charge_time: Duration::from_millis(2),
             slow_time: Duration::from_millis(40),
             faults,
             sub_calls: if s < depth {
@@ -126,6 +131,7 @@
     completed: usize,
     not_run: usize,
     unknown: usize,
+    preempted: usize,
     refused: usize,
     unfinished: usize,
     retried: usize,
@@ -145,9 +151,12 @@
                 ..
             } => seen.not_run += 1,
             What::Told {
-                answer: Answer::Unknown(_),
+                answer: Answer::Unknown(kind),
                 ..
-            } => seen.unknown += 1,
+            } => {
+                seen.unknown += 1;
+                seen.preempted += usize::from(*kind == UnknownKind::Preempted);
+            }
             What::Started { call, .. } => {
                 seen.unfinished += 1;
                 *attempts.entry(*call).or_default() += 1;
@@ -171,7 +180,6 @@
         send_all(&world.client("s1"), &lookups(0..80), 16).await;
         let events = world.stop().await;
         let seen = seen(&events);
-        eprintln!("depth {depth}: {seen:?}");
         assert!(seen.completed > 0 && seen.refused > 0, "{seen:?}");
         assert!(seen.unfinished > 0, "{seen:?}");
         assert!(depth == 1 || seen.retried > 0, "{seen:?}");
@@ -191,7 +199,6 @@
     send_all(&world.client("s1"), &requests, 12).await;
     let events = world.stop().await;
     let seen = seen(&events);
-    eprintln!("{seen:?}");
     assert!(seen.completed > 0 && seen.retried > 0, "{seen:?}");
     assert_kept(&events, SPARE, "fan-out 3");
 }
@@ -209,7 +216,6 @@
     send_all(&world.client("s1"), &requests, 24).await;
     let events = world.stop().await;
     let seen = seen(&events);
-    eprintln!("{seen:?}");
     assert!(seen.completed > 0 && seen.unfinished > 0, "{seen:?}");
     assert_kept(&events, SPARE, "charges");
 }
@@ -224,30 +230,74 @@
     send_all(&world.client("s1"), &lookups(0..60), 8).await;
     let events = world.stop().await;
     let seen = seen(&events);
-    eprintln!("{seen:?}");
     assert!(seen.completed > 0 && seen.unknown > 0, "{seen:?}");
     assert_kept(&events, SPARE, "large answers");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_lost_between_nodes_break_no_promise() {
+    let faults = Faults {
+        slow: 100,
+        ..Faults::default()
+    };
+    let mut services = chain(3, 2, faults);
+    services[1].behaviour.sub_calls.push(charge(3));
+    let world = World::start_lossy(&policy(3), &services, 17).await;
+    let client = world.client("s1");
+    let impatient = lookups(0..120).into_iter().map(|req| UserRequest {
+        resends: 2,
+        impatience: Duration::from_millis(30),
+        ..req
+    });
+    let requests: Vec<UserRequest> = impatient.collect();
+    let charges = charges(200..260);
+    tokio::join!(
+        send_all(&client, &requests, 12),
+        send_all(&client, &charges, 6)
+    );
+    let events = world.stop().await;
+    let seen = seen(&events);
+    assert!(
+        seen.completed > 0 && seen.unknown > 0 && seen.retried > 0,
+        "{seen:?}"
+    );
+    assert_kept(&events, SPARE, "lossy links");
+}
+
+/// Lookups hold every slot for longer than a charge waits: it runs in place of one, or not at all.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn charges_are_dropped_only_after_lookups() {
     let mut services = chain(1, 1, Faults::default());
     services[0].instances = 1;
-    services[0].behaviour.service_time = Duration::from_millis(40);
+    services[0].behaviour.service_time = Duration::from_millis(1500);
     let world = World::start(&policy(1), &services, 15).await;
     let client = world.client("s1");
-    let flood = lookups(0..1500);
-    let charges = charges(2000..2060);
-    tokio::join!(
-        send_all(&client, &flood, 400),
-        send_all(&client, &charges, 8)
-    );
+    let hurried = charges(2000..2080).into_iter().map(|req| UserRequest {
+        timeout: Duration::from_millis(500),
+        ..req
+    });
+    let hurried: Vec<UserRequest> = hurried.collect();
+    let flood = lookups(0..200);
+    let full = async {
+        while runs(&world) < SLOTS as usize {
+            tokio::task::yield_now().await;
+        }
+        send_all(&client, &hurried, 4).await;
+    };
+    tokio::join!(send_all(&client, &flood, 60), full);
     let events = world.stop().await;
     let seen = seen(&events);
-    assert!(seen.completed > 0 && seen.not_run > 0, "{seen:?}");
+    assert!(seen.completed > 0 && seen.preempted > 0, "{seen:?}");
     assert_kept(&events, SPARE, "surge");
 }
 
+fn runs(world: &World) -> usize {
+    let events = world.recorder.events();
+    let started = |event: &&Event| matches!(event.what, What::Started { .. });
+    events.iter().filter(started).count()
+}
+
+/// Calls go on for twice the time within which a leaving instance may still start something.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_leaving_instance_gets_no_work_and_loses_none() {
     let mut services = chain(2, 1, Faults::default());
@@ -255,13 +305,15 @@
     let world = World::start(&policy(2), &services, 16).await;
     let client = world.client("s1");
     send_all(&client, &lookups(0..40), 8).await;
-    let leaving = world.members.len() - 1;
-    world.drain(leaving);
-    let requests = lookups(40..400);
-    send_all(&client, &requests, 16).await;
+    let left = world.recorder.time();
+    world.drain(world.members.len() - 1);
+    let mut next = 40;
+    while world.recorder.time() < left + 2 * DRAIN {
+        send_all(&client, &lookups(next..next + 40), 16).await;
+        next += 40;
+    }
     let events = world.stop().await;
     let seen = seen(&events);
-    eprintln!("{seen:?}");
     assert_eq!(seen.unfinished, 0, "{seen:?}");
     assert_kept(&events, SPARE, "leaving");
 }
--- a/tests/history/recorder.rs
+++ b/tests/history/recorder.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use xxhash_rust::xxh3::Xxh3;
@@ -61,6 +62,11 @@
         *attempt
     }
 
+    /// Returns the time since the start.
+    pub(crate) fn time(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     /// Returns the events so far.
     pub(crate) fn events(&self) -> Vec<Event> {
         self.events.lock().unwrap().clone()
--- a/tests/history/target.rs
+++ b/tests/history/target.rs
@@ -17,6 +17,7 @@
 use rocket::Data;
 use rocket::Request;
 use rocket::Response;
+use rocket::http::Method;
 use rocket::http::Status;
 use rocket::route::Handler;
 use tokio_util::io::StreamReader;
@@ -52,6 +53,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Behaviour {
     pub(crate) service_time: Duration,
+    /// Service time of a call by POST.
+    pub(crate) charge_time: Duration,
     /// Service time of a slow run.
     pub(crate) slow_time: Duration,
     pub(crate) faults: Faults,
@@ -153,6 +156,7 @@
         self.recorder.add(What::Started { run, call, at });
         let time = match fault {
             Some(Fault::Slow) => self.behaviour.slow_time,
+            _ if req.method() == Method::Post => self.behaviour.charge_time,
             _ => self.behaviour.service_time,
         };
         tokio::time::sleep(time).await;
--- a/tests/history/world.rs
+++ b/tests/history/world.rs
@@ -28,12 +28,16 @@
 use crate::client::Client;
 use crate::client::Entry;
 use crate::client::UserRequest;
+use crate::link::Link;
 use crate::recorder::Recorder;
 use crate::target::Behaviour;
 use crate::target::Target;
 
-/// Time after which a leaving instance starts nothing, as it is promised.
-const DRAIN: Duration = Duration::from_secs(3);
+/// Time after which a leaving instance starts nothing. What it had queued starts within it.
+pub(crate) const DRAIN: Duration = Duration::from_secs(1);
+
+/// Time within which idle nodes stop: longer than every timeout of the policies.
+const STOP_WITHIN: Duration = Duration::from_secs(30);
 
 /// The instances of one service.
 #[derive(Clone, Debug)]
@@ -54,23 +58,38 @@
     pub(crate) members: Vec<Member>,
     pub(crate) recorder: Arc<Recorder>,
     platform: PlatformStandin,
+    /// Links in front of the ingress ports, where they are lossy.
+    links: Vec<Link>,
 }
 
 impl World {
     /// Starts targets and nodes, and waits until every node knows every instance.
     pub(crate) async fn start(policy: &str, services: &[Service], seed: u64) -> World {
+        World::start_with(policy, services, seed, false).await
+    }
+
+    /// Starts a fleet whose calls between nodes, and from callers, lose answers.
+    pub(crate) async fn start_lossy(policy: &str, services: &[Service], seed: u64) -> World {
+        World::start_with(policy, services, seed, true).await
+    }
+
+    async fn start_with(policy: &str, services: &[Service], seed: u64, lossy: bool) -> World {
         let platform = PlatformStandin::start().await.unwrap();
         platform.set_config(1, policy);
         let mut world = World {
             members: Vec::new(),
             recorder: Arc::new(Recorder::new()),
             platform,
+            links: Vec::new(),
         };
         for service in services {
             for index in 0..service.instances {
                 world.add(service, index, seed).await;
             }
         }
+        if lossy {
+            world.add_links(seed).await;
+        }
         let instances: Vec<Instance> = world.members.iter().map(|m| m.instance.clone()).collect();
         world.platform.set_instances(instances);
         for member in &world.members {
@@ -79,6 +98,15 @@
         world
     }
 
+    async fn add_links(&mut self, seed: u64) {
+        for (number, member) in self.members.iter_mut().enumerate() {
+            let seed = seed.wrapping_add(number as u64);
+            let link = Link::start(member.instance.ingress, seed).await;
+            member.instance.ingress = link.address();
+            self.links.push(link);
+        }
+    }
+
     async fn add(&mut self, service: &Service, index: usize, seed: u64) {
         let name = format!("{}-{index}", service.name);
         let at = Life {
@@ -126,7 +154,7 @@
             .filter(|m| m.instance.service.as_str() == service);
         let entries = of_service.map(|m| Entry {
             instance: m.instance.name.to_string(),
-            address: m.node.ingress(),
+            address: m.instance.ingress,
         });
         Client::new(entries.collect(), self.recorder.clone())
     }
@@ -143,7 +171,12 @@
     pub(crate) async fn stop(self) -> Vec<Event> {
         let (nodes, targets): (Vec<_>, Vec<_>) =
             self.members.into_iter().map(|m| (m.node, m.target)).unzip();
-        futures_util::future::join_all(nodes.into_iter().map(RunningNode::stop)).await;
+        let stopping = futures_util::future::join_all(nodes.into_iter().map(RunningNode::stop));
+        let stopped = tokio::time::timeout(STOP_WITHIN, stopping).await;
+        assert!(
+            stopped.is_ok(),
+            "a node still holds a call that nobody waits for"
+        );
         futures_util::future::join_all(targets.into_iter().map(Target::stop)).await;
         self.recorder.events()
     }
