Nodes take configuration and membership from the control plane, and show metrics and status

A node refuses calls as not-ready until its view is confirmed. Each call is counted where it enters, arrives and leaves. Settings name the peer ports asked at start and the size of the fleet.

--- a/src/coordination/control/exchange.rs
+++ b/src/coordination/control/exchange.rs
@@ -68,6 +68,7 @@
     ) where
         R: Rng,
     {
+        self.confirmed = Some(now);
         if let Some(rejection) = &exchanged.rejection {
             self.config.note_rejection(rejection);
         }
--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -77,6 +77,7 @@
     phase: Phase,
     draining: bool,
     changed: bool,
+    confirmed: Option<Time>,
     last_tick: Option<Time>,
     next_exchange: Time,
     next_cross: Time,
@@ -121,6 +122,7 @@
             phase: Phase::starting(),
             draining: false,
             changed: false,
+            confirmed: None,
             last_tick: None,
             next_exchange: Time::ZERO,
             next_cross: Time::ZERO,
@@ -156,6 +158,11 @@
         self.is_ready() && !self.was_paused(now)
     }
 
+    /// Returns when the platform or a peer last answered about the configuration.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed
+    }
+
     /// Returns the configuration.
     pub fn config(&self) -> &ConfigState {
         &self.config
--- a/src/coordination/control/platform.rs
+++ b/src/coordination/control/platform.rs
@@ -38,6 +38,9 @@
 impl Control {
     /// Takes the platform's answer to a watch of the configuration.
     pub fn config_answer(&mut self, now: Time, answer: Answer<&str>) -> Vec<Action> {
+        if !matches!(answer, Answer::Failed) {
+            self.confirmed = Some(now);
+        }
         let Some((revision, text)) = self.newer(Kind::Config, answer) else {
             return Vec::new();
         };
--- a/src/error.rs
+++ b/src/error.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// Returns the error kind, nothing for a whole answer.
+    pub fn error(&self) -> Option<ErrorKind> {
+        match self {
+            Outcome::Completed(_) => None,
+            Outcome::NotRun(kind) => Some(ErrorKind::NotRun(*kind)),
+            Outcome::Unknown(kind) => Some(ErrorKind::Unknown(*kind)),
+        }
+    }
+
     /// Merges the outcome of a later attempt into that of the earlier ones.
     ///
     /// The result is [`Outcome::NotRun`] only if every attempt was.
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,18 +1,20 @@
 //! A node: its tables and what its ports share.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::Notify;
-use tokio::sync::watch;
 
 use crate::call::RequestId;
 use crate::clock::Clock;
@@ -28,23 +30,33 @@
 use crate::coordination::gate::Arrived;
 use crate::coordination::gate::Gate;
 use crate::coordination::gate::GateConfig;
+use crate::coordination::link::LinkConfig;
+use crate::coordination::link::node_share;
 use crate::coordination::poison::CrashReport;
 use crate::coordination::routing::Home;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
+use crate::instance::DomainName;
 use crate::instance::Incarnation;
 use crate::instance::Instance;
 use crate::instance::InstanceName;
 use crate::instance::InstanceState;
 use crate::instance::ServiceName;
+use crate::metrics::CallEnd;
+use crate::policy::LinkRule;
 use crate::policy::Policy;
 use crate::protocol::hop::HOP_VERSION;
 use crate::protocol::hop::Hop;
 use crate::protocol::hop::HopError;
 use crate::protocol::hop::Keyring;
+use crate::records::Records;
 use crate::settings::Settings;
 use crate::state::calls::ContextId;
+use crate::state::fleet::Fleet;
+use crate::state::fleet::FleetTable;
+use crate::state::fleet::Known;
 use crate::timer::Tick;
+use crate::transport::control::ControlPlane;
 use crate::transport::forward;
 use crate::transport::kept::KeptAnswer;
 use crate::transport::reply::Notes;
@@ -53,6 +65,33 @@
 /// Reports of crashes that wait to be sent, at most.
 const MAX_PENDING_REPORTS: usize = 1_024;
 
+/// Longest wait for the rules and instances of a service that is called for the first time.
+const MEET_WAIT: Duration = Duration::from_millis(500);
+
+/// Slots of an instance whose service has no rule.
+const DEFAULT_SLOTS: u32 = 16;
+
+/// Which decisions are on. Baselines switch some off.
+#[derive(Clone, Debug)]
+pub struct Decisions {
+    /// Ingress.
+    pub gate: GateConfig,
+    /// Egress.
+    pub dispatch: DispatchConfig,
+    /// Whether the slots of the policy are ignored.
+    pub fixed_slots: bool,
+}
+
+impl Default for Decisions {
+    fn default() -> Decisions {
+        Decisions {
+            gate: GateConfig::full(DEFAULT_SLOTS),
+            dispatch: DispatchConfig::default(),
+            fixed_slots: false,
+        }
+    }
+}
+
 /// The tables of a node and what its ports share.
 pub struct Node {
     /// Settings that the node was started with.
@@ -71,19 +110,22 @@
     pub client: reqwest::Client,
     keyring: Keyring,
     incarnation: Incarnation,
-    policy: RwLock<Arc<Policy>>,
+    fleet: Arc<FleetTable>,
+    control: OnceLock<Arc<ControlPlane>>,
+    /// What is counted.
+    pub records: Records,
     /// Handlers that wait for a decision.
     pub waiters: Waiters,
+    fixed_slots: bool,
     rng: Mutex<ChaCha12Rng>,
     counter: AtomicU64,
     ticked: AtomicU64,
+    pauses: AtomicU64,
     seen_live: AtomicBool,
     reports: Mutex<Vec<CrashReport>>,
     ports: RwLock<ServedPorts>,
     /// Told when a call has ended.
     pub ended: Notify,
-    /// Number of instances in the list that is in use.
-    pub known: watch::Sender<usize>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -98,16 +140,15 @@
     /// # Errors
     ///
     /// If the HTTP client cannot be set up.
-    pub fn new(settings: Settings, policy: Policy, seed: u64) -> io::Result<Node> {
+    pub fn new(
+        settings: Settings,
+        decisions: Decisions,
+        incarnation: Incarnation,
+        seed: u64,
+    ) -> io::Result<Node> {
         let clock = Clock::system();
-        let mut rng = ChaCha12Rng::seed_from_u64(seed);
-        let incarnation = Incarnation(rng.next_u64());
+        let rng = ChaCha12Rng::seed_from_u64(seed);
         let service = settings.instance.service.clone();
-        let slots = policy
-            .services
-            .iter()
-            .find(|s| s.service == service)
-            .map_or(16, |s| s.slots);
         let home = Home {
             instance: settings.instance.name.clone(),
             domain: settings.instance.domain.clone(),
@@ -119,24 +160,27 @@
             gate: Gate::new(
                 &settings.instance.name,
                 incarnation,
-                GateConfig::full(slots),
+                decisions.gate,
                 KeptAnswer::bytes,
                 clock.now(),
             ),
-            dispatcher: Dispatcher::new(home, DispatchConfig::default(), clock.now()),
+            dispatcher: Dispatcher::new(home, decisions.dispatch, clock.now()),
             client: forward::client()?,
             keyring: Keyring::new(&settings.keys.current, settings.keys.previous.as_deref()),
             incarnation,
-            policy: RwLock::new(Arc::new(policy)),
+            fleet: Arc::default(),
+            control: OnceLock::new(),
+            records: Records::new(),
+            fixed_slots: decisions.fixed_slots,
             waiters: Waiters::default(),
             rng: Mutex::new(rng),
             counter: AtomicU64::new(0),
             ticked: AtomicU64::new(clock.now().micros()),
+            pauses: AtomicU64::new(0),
             seen_live: AtomicBool::new(false),
             reports: Mutex::default(),
             ports: RwLock::default(),
             ended: Notify::new(),
-            known: watch::Sender::new(0),
             clock,
             settings,
         })
@@ -144,10 +188,62 @@
 
     /// Returns the policy in force.
     pub fn policy(&self) -> Arc<Policy> {
-        self.policy
-            .read()
-            .unwrap_or_else(|p| p.into_inner())
-            .clone()
+        self.fleet.snapshot().policy().clone()
+    }
+
+    /// Returns where the control plane publishes its view.
+    pub fn fleet(&self) -> &Arc<FleetTable> {
+        &self.fleet
+    }
+
+    /// Returns the control plane, once it has started.
+    pub fn control(&self) -> Option<&Arc<ControlPlane>> {
+        self.control.get()
+    }
+
+    /// Takes over the control plane that has started.
+    pub fn set_control(&self, control: ControlPlane) {
+        let _ = self.control.set(Arc::new(control));
+    }
+
+    /// Returns whether the node may act on its view of the fleet.
+    pub fn is_ready(&self) -> bool {
+        self.control()
+            .is_some_and(|control| control.acts_on().is_some())
+    }
+
+    /// Returns the process pauses that were noticed.
+    pub fn pauses(&self) -> u64 {
+        self.pauses.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call that ended.
+    pub fn count(&self, end: &CallEnd<'_>) {
+        self.records.ended(end, &self.policy(), self.clock.now());
+    }
+
+    /// Learns the rules and instances of a service that is called for the first time.
+    pub async fn meet(&self, service: &ServiceName) {
+        let known = |fleet: &Fleet| !fleet.instances(service.as_str()).is_empty();
+        if known(&self.fleet.snapshot()) {
+            return;
+        }
+        let Some(control) = self.control() else {
+            return;
+        };
+        if control.want(service, MEET_WAIT).await {
+            self.take_fleet(&self.fleet.snapshot());
+        }
+    }
+
+    /// Returns the keys that the fleet shares.
+    pub fn keyring(&self) -> &Keyring {
+        &self.keyring
+    }
+
+    /// Returns this life of the node.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
     }
 
     /// Returns the port that the ingress is served on.
@@ -277,15 +373,58 @@
         let before = self.ticked.swap(now.micros(), Ordering::Relaxed);
         let late = now.since(Time::from_micros(before).plus(TICK));
         self.gate.set_behind(self.dispatcher.worst_level(now));
-        self.gate.tick(Tick { now, late }, &mut effects);
+        if self.gate.tick(Tick { now, late }, &mut effects).is_some() {
+            self.pauses.fetch_add(1, Ordering::Relaxed);
+        }
         self.waiters.apply(&effects);
     }
 
-    /// Takes over the published instances.
-    pub fn take_instances(&self, instances: &[Instance]) {
-        self.dispatcher.sync(instances, self.clock.now());
-        self.learn_own_state(instances);
-        self.known.send_replace(instances.len());
+    /// Takes over a view of the fleet.
+    pub fn take_fleet(&self, fleet: &Fleet) {
+        let now = self.clock.now();
+        let instances: Vec<Instance> = fleet
+            .services()
+            .flat_map(|service| fleet.instances(service.as_str()))
+            .map(as_listed)
+            .collect();
+        self.dispatcher.sync(&instances, now);
+        self.learn_own_state(&instances);
+        self.take_policy(fleet, &instances, now);
+    }
+
+    fn take_policy(&self, fleet: &Fleet, instances: &[Instance], now: Time) {
+        let policy = fleet.policy();
+        let rule = policy.services.iter().find(|s| s.service == self.service);
+        if let Some(rule) = rule.filter(|_| !self.fixed_slots) {
+            let mut effects = Vec::new();
+            self.gate.set_slots(rule.slots, now, &mut effects);
+            self.waiters.apply(&effects);
+        }
+        let region = &self.settings.instance.region;
+        for link in &policy.links {
+            let other = match (link.from == *region, link.to == *region) {
+                (true, false) => &link.to,
+                (false, true) => &link.from,
+                _ => continue,
+            };
+            self.dispatcher
+                .set_link(other, self.link_share(link, instances), now);
+        }
+    }
+
+    /// Returns this node's share of the budget of a link.
+    fn link_share(&self, link: &LinkRule, instances: &[Instance]) -> LinkConfig {
+        let own = &self.settings.instance;
+        let in_region = instances.iter().filter(|i| i.region == own.region);
+        let domains: BTreeSet<&DomainName> = in_region.map(|i| &i.domain).collect();
+        let in_domain = instances.iter().filter(|i| i.domain == own.domain).count();
+        let known = self.settings.fleet_size.max(in_domain);
+        let nodes = known / domains.len().max(1);
+        LinkConfig {
+            bytes_per_s: node_share(link.bytes_per_second as f64, domains.len(), nodes),
+            reserved_share: link.reserved.as_f64(),
+            ..LinkConfig::default()
+        }
     }
 
     /// Starts to drain when the list says that this instance is leaving.
@@ -309,3 +448,15 @@
         draw(&mut self.rng.lock().unwrap_or_else(|p| p.into_inner()))
     }
 }
+
+/// Returns an instance with what was heard of it beside the list.
+fn as_listed(known: &Known) -> Instance {
+    let state = match known.draining {
+        true => InstanceState::Leaving,
+        false => known.instance.state,
+    };
+    Instance {
+        state,
+        ..known.instance.clone()
+    }
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,5 +1,7 @@
 //! What a node counts: metrics, and the history that the report on service-level burn reads.
 
+use std::sync::Arc;
+
 use crate::clock::Time;
 use crate::metrics::CallEnd;
 use crate::metrics::Metrics;
@@ -15,7 +17,7 @@
 #[derive(Debug)]
 pub struct Records {
     /// Metrics.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     history: Table<History>,
 }
 
@@ -29,7 +31,7 @@
     /// Builds counts that are all zero.
     pub fn new() -> Records {
         Records {
-            metrics: Metrics::new(),
+            metrics: Arc::new(Metrics::new()),
             history: Table::new(Rank::History, History::new()),
         }
     }
--- a/src/running.rs
+++ b/src/running.rs
@@ -2,8 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use rand::Rng;
 use tokio::signal::unix::SignalKind;
@@ -11,50 +14,103 @@
 use tokio::task::JoinHandle;
 
 use crate::coordination::admission::TICK;
+use crate::coordination::control::ControlSettings;
+use crate::coordination::control::Pace;
+use crate::instance::Incarnation;
+use crate::instance::Instance;
+use crate::instance::InstanceState;
+use crate::node::Decisions;
 use crate::node::Node;
 use crate::policy::Policy;
+use crate::protocol::peer::PeerRequest;
 use crate::settings::Settings;
+use crate::state::fleet::Fleet;
+use crate::status::own;
+use crate::transport::control::ControlPlane;
+use crate::transport::control::ControlPlaneSettings;
+use crate::transport::control::OtherHandlers;
+use crate::transport::control::Passes;
 use crate::transport::egress::Egress;
 use crate::transport::ingress::Ingress;
-use crate::transport::platform::PlatformClient;
+use crate::transport::operator::OperatorPort;
 use crate::transport::server;
 use crate::transport::server::Server;
 
-/// Time for which a watch of the platform is held open.
-const WATCH: Duration = Duration::from_secs(20);
+/// Time between two looks for crash reports that are to be sent.
+const REPORTS_PERIOD: Duration = Duration::from_millis(100);
 
-/// Wait after the platform failed to answer.
-const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
+/// How a node is started.
+pub struct StartOptions {
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// This life of the node, above those before it.
+    pub incarnation: Incarnation,
+    /// Which decisions are on.
+    pub decisions: Decisions,
+    /// Spans between regular control actions.
+    pub pace: Pace,
+    /// Which peer addresses can be reached. Tests cut networks with it.
+    pub passes: Passes,
+}
+
+impl StartOptions {
+    /// Everything on, with random choices from `seed`.
+    pub fn new(seed: u64) -> StartOptions {
+        StartOptions {
+            seed,
+            incarnation: Incarnation(seed),
+            decisions: Decisions::default(),
+            pace: Pace::default(),
+            passes: Box::new(|_| true),
+        }
+    }
+}
 
 /// A node that serves its ports.
 pub struct RunningNode {
     node: Arc<Node>,
     ingress: Server,
     egress: Server,
+    operator: Server,
+    peer: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl RunningNode {
-    /// Starts a node: reads the platform, then serves.
-    pub async fn start(settings: Settings, seed: u64) -> io::Result<RunningNode> {
-        let platform = PlatformClient::new(&settings.platform);
-        let config = platform.config(0, WATCH).await.map_err(io::Error::other)?;
-        let text = config.map(|c| c.text).unwrap_or_default();
-        let policy = Policy::parse(&text).map_err(io::Error::other)?;
-        let node = Arc::new(Node::new(settings, policy, seed)?);
+    /// Starts a node. It refuses calls until it has a confirmed view of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// If a port cannot be served.
+    pub async fn start(settings: Settings, options: StartOptions) -> io::Result<RunningNode> {
+        let listener = TcpListener::bind(settings.ports.peer)?;
+        let peer = listener.local_addr()?;
+        let node = Node::new(
+            settings,
+            options.decisions.clone(),
+            options.incarnation,
+            options.seed,
+        )?;
+        let node = Arc::new(node);
+        let ports = &node.settings.ports;
         let ingress = server::catch_all(Ingress(node.clone()));
-        let ingress = Server::start(node.settings.ports.ingress, ingress).await?;
+        let ingress = Server::start(ports.ingress, ingress).await?;
         let egress = server::catch_all(Egress(node.clone()));
-        let egress = Server::start(node.settings.ports.egress, egress).await?;
+        let egress = Server::start(ports.egress, egress).await?;
         node.set_ports(ingress.address().port(), egress.address().port());
+        let operator = operator_port(&node).serve(ports.operator).await?;
+        start_control(&node, listener, ingress.address(), options)?;
         let tasks = vec![
-            tokio::spawn(watch_instances(node.clone(), platform)),
+            tokio::spawn(follow_fleet(node.clone())),
+            tokio::spawn(send_reports(node.clone())),
             tokio::spawn(tick(node.clone())),
         ];
         Ok(RunningNode {
             node,
             ingress,
             egress,
+            operator,
+            peer,
             tasks,
         })
     }
@@ -76,18 +132,44 @@
 
     /// Returns the address of the peer port.
     pub fn peer(&self) -> SocketAddr {
-        self.node.settings.ports.peer
+        self.peer
     }
 
-    /// Waits until the node knows `count` instances.
-    pub async fn knows_instances(&self, count: usize) {
-        let mut known = self.node.known.subscribe();
-        let _ = known.wait_for(|known| *known == count).await;
+    /// Returns the address of the operator port.
+    pub fn operator(&self) -> SocketAddr {
+        self.operator.address()
+    }
+
+    /// Waits until the node may act on its view of the fleet.
+    pub async fn ready(&self) {
+        if let Some(control) = self.node.control() {
+            control.ready().await;
+        }
+    }
+
+    /// Waits until the node knows each of `instances`.
+    pub async fn knows(&self, instances: &[Instance]) {
+        let Some(control) = self.node.control() else {
+            return;
+        };
+        for instance in instances {
+            let service = &instance.service;
+            control.want(service, Duration::ZERO).await;
+            let known = |fleet: &Fleet| {
+                let known = fleet.instance(service.as_str(), &instance.name);
+                known.is_some_and(|known| known.instance == *instance)
+            };
+            control.until(known).await;
+        }
+        self.node.take_fleet(&self.node.fleet().snapshot());
     }
 
     /// Refuses new calls, waits for those in progress, then stops.
     pub async fn stop(self) {
         self.node.gate.drain();
+        if let Some(control) = self.node.control() {
+            control.drain();
+        }
         loop {
             let ended = self.node.ended.notified();
             if self.node.gate.is_idle() {
@@ -95,8 +177,14 @@
             }
             ended.await;
         }
-        self.ingress.stop().await;
-        self.egress.stop().await;
+        tokio::join!(
+            self.ingress.stop(),
+            self.egress.stop(),
+            self.operator.stop()
+        );
+        if let Some(control) = self.node.control() {
+            control.stop();
+        }
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
@@ -110,7 +198,11 @@
     let grace = settings.drain_grace;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let starting = RunningNode::start(settings, rand::rng().next_u64());
+    let options = StartOptions {
+        incarnation: Incarnation(unix_micros()),
+        ..StartOptions::new(rand::rng().next_u64())
+    };
+    let starting = RunningNode::start(settings, options);
     let running = tokio::select! {
         running = starting => running?,
         _ = terminate.recv() => return Ok(()),
@@ -119,10 +211,17 @@
     log::info!(
         ingress:% = running.ingress(),
         egress:% = running.egress(),
-        peer:% = running.peer();
-        "serving"
+        peer:% = running.peer(),
+        operator:% = running.operator();
+        "listening"
     );
+    let announce = async {
+        running.ready().await;
+        log::info!("ready");
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
+        () = announce => (),
         _ = terminate.recv() => (),
         _ = interrupt.recv() => (),
     }
@@ -134,18 +233,111 @@
     Ok(())
 }
 
-async fn watch_instances(node: Arc<Node>, platform: PlatformClient) {
-    let mut version = 0;
-    loop {
-        match platform.instances(version, WATCH).await {
-            Ok(Some(document)) => {
-                version = document.version;
-                node.take_instances(&document.instances);
+/// Microseconds since the Unix epoch; a node that starts later has a higher incarnation.
+fn unix_micros() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_micros() as u64)
+}
+
+fn operator_port(node: &Arc<Node>) -> OperatorPort {
+    let shown = node.clone();
+    OperatorPort::new(node.records.metrics.clone(), move || own::status(&shown))
+}
+
+fn start_control(
+    node: &Arc<Node>,
+    listener: TcpListener,
+    ingress: SocketAddr,
+    options: StartOptions,
+) -> io::Result<()> {
+    let own = &node.settings.instance;
+    let instance = Instance {
+        name: own.name.clone(),
+        service: own.service.clone(),
+        domain: own.domain.clone(),
+        region: own.region.clone(),
+        ingress,
+        peer: listener.local_addr()?,
+        state: InstanceState::Live,
+    };
+    let control = ControlSettings {
+        instance,
+        incarnation: node.incarnation(),
+        calls: Vec::new(),
+        seeds: node.settings.peers.clone(),
+        fleet_size: node.settings.fleet_size as u64,
+        pace: options.pace,
+        accept: Box::new(|text| Policy::parse(text).map(drop).map_err(|e| e.to_string())),
+    };
+    let control = ControlPlane::start(ControlPlaneSettings {
+        control,
+        listener,
+        platform: node.settings.platform.clone(),
+        keys: node.keyring().clone(),
+        clock: node.clock.clone(),
+        seed: options.seed,
+        fleet: node.fleet().clone(),
+        handlers: peer_handlers(node),
+        passes: options.passes,
+    })?;
+    node.set_control(control);
+    Ok(())
+}
+
+/// Handlers hold the node weakly, since the node owns the control plane that calls them.
+fn peer_handlers(node: &Arc<Node>) -> OtherHandlers {
+    let for_crash = Arc::downgrade(node);
+    let for_cancel = Arc::downgrade(node);
+    OtherHandlers {
+        crash: Box::new(move |_, report| {
+            if let Some(node) = for_crash.upgrade() {
+                node.gate.report(node.clock.now(), &report);
+            }
+        }),
+        cancel: Box::new(move |_, request| {
+            if let Some(node) = for_cancel.upgrade() {
+                node.cancel(request);
             }
-            Ok(None) => (),
-            Err(e) => {
-                log::warn!("instance list: {e}");
-                tokio::time::sleep(PLATFORM_BACKOFF).await;
+        }),
+        ..OtherHandlers::default()
+    }
+}
+
+/// Takes over each view of the fleet that the control plane publishes.
+async fn follow_fleet(node: Arc<Node>) {
+    let Some(control) = node.control().cloned() else {
+        return;
+    };
+    let mut taken = node.fleet().snapshot();
+    node.take_fleet(&taken);
+    loop {
+        taken = control.changed(&taken).await;
+        node.take_fleet(&taken);
+    }
+}
+
+/// Sends reports of crashes to the other nodes of the service.
+async fn send_reports(node: Arc<Node>) {
+    let Some(control) = node.control().cloned() else {
+        return;
+    };
+    let mut interval = tokio::time::interval(REPORTS_PERIOD);
+    loop {
+        interval.tick().await;
+        let reports = node.take_reports();
+        let fleet = node.fleet().snapshot();
+        let others = fleet.instances(node.service.as_str()).iter();
+        for known in others.filter(|known| known.instance.name != node.name) {
+            for report in &reports {
+                let request = PeerRequest::Crash(report.clone());
+                let name = Some(&known.instance.name);
+                let sent = control
+                    .client()
+                    .ask(name, known.instance.peer, request)
+                    .await;
+                if let Err(e) = sent {
+                    log::warn!("crash report to {}: {e}", known.instance.name);
+                }
             }
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -93,6 +93,10 @@
     pub platform: String,
     /// Secrets of the fleet.
     pub keys: FleetKeys,
+    /// Peer ports that are asked before the instance list is known.
+    pub peers: Vec<SocketAddr>,
+    /// Number of instances in the fleet.
+    pub fleet_size: usize,
     /// Bounds on calls and on memory.
     pub limits: Limits,
     /// Threads that serve calls.
@@ -141,6 +145,8 @@
             target: reader.address(&table::TARGET).expect(DEFAULTS),
             platform: platform.to_owned(),
             keys,
+            peers: reader.addresses(&table::PEERS).expect(DEFAULTS),
+            fleet_size: reader.count(&table::FLEET_SIZE).expect(DEFAULTS),
             limits: limits(&mut reader).expect(DEFAULTS),
             workers: reader.count(&table::WORKERS).expect(DEFAULTS),
             log_level: reader.level(&table::LOG_LEVEL).expect(DEFAULTS),
@@ -158,6 +164,8 @@
     let target = reader.address(&table::TARGET);
     let platform = reader.url(&table::PLATFORM);
     let keys = keys(reader);
+    let peers = reader.addresses(&table::PEERS);
+    let fleet_size = reader.count(&table::FLEET_SIZE);
     let limits = limits(reader);
     let workers = reader.count(&table::WORKERS);
     let log_level = reader.level(&table::LOG_LEVEL);
@@ -168,6 +176,8 @@
         target: target?,
         platform: platform?,
         keys: keys?,
+        peers: peers?,
+        fleet_size: fleet_size?,
         limits: limits?,
         workers: workers?,
         log_level: log_level?,
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -152,6 +152,16 @@
         self.checked(key, |text| SocketAddr::from_str(text).ok())
     }
 
+    pub(super) fn addresses(&mut self, key: &Key) -> Option<Vec<SocketAddr>> {
+        self.checked(key, |text| {
+            let parts = text
+                .split(',')
+                .map(str::trim)
+                .filter(|part| !part.is_empty());
+            parts.map(|part| SocketAddr::from_str(part).ok()).collect()
+        })
+    }
+
     pub(super) fn url(&mut self, key: &Key) -> Option<String> {
         self.checked(key, |text| is_http_url(text).then(|| text.to_owned()))
     }
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -15,6 +15,8 @@
     Name,
     /// An IP address and port.
     Address,
+    /// IP addresses and ports, separated by commas.
+    Addresses,
     /// An `http://` URL.
     Url,
     /// A secret, never repeated in an error.
@@ -125,6 +127,10 @@
         "Secret that is accepted besides the key while keys are rotated.";
     PREVIOUS_KEY_FILE: ["fleet"] "previous-key-file", Optional, File,
         "File that holds the previous key, relative to the settings file.";
+    PEERS: ["fleet"] "peers", Value(""), Addresses,
+        "Peer ports that are asked at start, before the instance list is known.";
+    FLEET_SIZE: ["fleet"] "size", Value("100"), Count(1, 100_000),
+        "Number of instances in the fleet, over which first calls to the platform are spread.";
     MAX_HEADER_BYTES: ["limits"] "max-header-bytes", Value("16KiB"), Bytes(KIB, MIB),
         "Largest request head; a call with a larger one is not run.";
     MAX_BODY_BYTES: ["limits"] "max-body-bytes", Value("64MiB"), Bytes(KIB, 64 * GIB),
@@ -151,6 +157,7 @@
         match self {
             Name => name_form(),
             Address => "an IP address and port such as 127.0.0.1:7100 or [::1]:7100".to_owned(),
+            Addresses => "addresses such as 10.0.0.1:7102, separated by commas".to_owned(),
             Url => "a URL such as http://10.0.0.1:8500".to_owned(),
             Secret => format!("at least {MIN_KEY_CHARS} characters"),
             File => "the name of a readable file".to_owned(),
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -10,6 +10,7 @@
 use crate::instance::RegionName;
 use crate::instance::ServiceName;
 use crate::running::RunningNode;
+use crate::running::StartOptions;
 use crate::settings::FleetKeys;
 use crate::settings::Identity;
 use crate::settings::Ports;
@@ -90,6 +91,18 @@
     pub async fn start_with<F>(spec: &FleetSpec, adjust: F) -> io::Result<Fleet>
     where
         F: Fn(&mut Settings),
+    {
+        Fleet::start_tuned(spec, |settings, _| adjust(settings)).await
+    }
+
+    /// Starts a fleet whose node settings and start options are changed by `adjust`.
+    ///
+    /// # Errors
+    ///
+    /// If a port cannot be served, or the policy is rejected.
+    pub async fn start_tuned<F>(spec: &FleetSpec, adjust: F) -> io::Result<Fleet>
+    where
+        F: Fn(&mut Settings, &mut StartOptions),
     {
         let platform = PlatformStandin::start().await?;
         platform.set_config(1, &spec.policy);
@@ -109,9 +122,10 @@
     /// Publishes the instances and waits until every node knows them.
     pub async fn publish(&self) {
         let instances: Vec<Instance> = self.members.iter().map(|m| m.instance.clone()).collect();
-        self.platform.set_instances(instances);
+        self.platform.set_instances(instances.clone());
         for member in &self.members {
-            member.node.knows_instances(self.members.len()).await;
+            member.node.ready().await;
+            member.node.knows(&instances).await;
         }
     }
 
@@ -143,7 +157,7 @@
         adjust: &F,
     ) -> io::Result<()>
     where
-        F: Fn(&mut Settings),
+        F: Fn(&mut Settings, &mut StartOptions),
     {
         let name = format!("{}-{}", service.name, index + 1);
         let place = &spec.places[index % spec.places.len()];
@@ -161,9 +175,10 @@
         let mut settings = Settings::with_defaults(identity.clone(), self.platform.url(), keys);
         settings.ports = any_ports();
         settings.target = target.address();
-        adjust(&mut settings);
         let seed = spec.seed.wrapping_add(self.members.len() as u64);
-        let node = RunningNode::start(settings, seed).await?;
+        let mut options = StartOptions::new(seed);
+        adjust(&mut settings, &mut options);
+        let node = RunningNode::start(settings, options).await?;
         target.set_egress(node.egress());
         let instance = Instance {
             name: identity.name,
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod egress;
 pub mod glance;
+pub mod own;
 
 use std::fmt;
 
--- a/src/transport/control.rs
+++ b/src/transport/control.rs
@@ -171,6 +171,18 @@
         self.shared.core.lock().control.status()
     }
 
+    /// Returns the highest revision seen, if it was rejected.
+    pub fn rejected(&self) -> Option<Revision> {
+        let core = self.shared.core.lock();
+        let rejection = core.control.config().rejection();
+        rejection.map(|rejection| rejection.revision)
+    }
+
+    /// Returns when the platform or a peer last confirmed the configuration.
+    pub fn confirmed_at(&self) -> Option<Time> {
+        self.shared.core.lock().control.confirmed_at()
+    }
+
     /// Returns the revision that the node acts on, nothing while it may not act.
     pub fn acts_on(&self) -> Option<Revision> {
         let core = self.shared.core.lock();
@@ -197,6 +209,23 @@
         }
     }
 
+    /// Waits until another view than `last` is published, and returns it.
+    pub async fn changed(&self, last: &Arc<Fleet>) -> Arc<Fleet> {
+        loop {
+            let published = self.shared.published.notified();
+            let current = self.shared.fleet.snapshot();
+            if !Arc::ptr_eq(&current, last) {
+                return current;
+            }
+            published.await;
+        }
+    }
+
+    /// Stops its tasks.
+    pub fn stop(&self) {
+        self.shared.stopped.cancel();
+    }
+
     /// Adds a service that the target calls from now on, and waits until its rules and instances
     /// are held, at most `wait`. Returns whether they are.
     pub async fn want(&self, service: &ServiceName, wait: Duration) -> bool {
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -27,6 +27,8 @@
 use crate::error::UnknownKind;
 use crate::instance::InstanceName;
 use crate::instance::ServiceName;
+use crate::metrics::CallEnd;
+use crate::metrics::Side;
 use crate::node::Node;
 use crate::protocol::header;
 use crate::state::calls::SubCall;
@@ -89,6 +91,7 @@
     let head = Head::read(req, node.settings.limits.max_header_bytes as usize).map_err(refusal)?;
     let (service, target) =
         split_service(&head.target).ok_or(refusal(NotRunKind::NoSuchService))?;
+    node.meet(&service).await;
     let policy = node.policy();
     let path = target.split('?').next().unwrap_or_default();
     let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
@@ -111,7 +114,15 @@
         cross_region: treatment.cross_region,
         not_to: None,
     };
+    let began = node.clock.now();
     let (outcome, used) = send_call(node, &out).await;
+    node.count(&CallEnd {
+        side: Side::Egress,
+        service: &service,
+        priority: child.context.priority,
+        error: outcome.error(),
+        took: node.clock.now().since(began),
+    });
     node.gate
         .give_back(&child, child.context.spare.saturating_sub(used));
     let connection = Connection {
--- a/src/transport/guard.rs
+++ b/src/transport/guard.rs
@@ -2,11 +2,16 @@
 
 use std::sync::Arc;
 
+use crate::call::Priority;
+use crate::clock::Time;
 use crate::coordination::admission::Ticket;
 use crate::coordination::gate::Refusal;
+use crate::coordination::gate::Source;
 use crate::error::ErrorKind;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
+use crate::metrics::CallEnd;
+use crate::metrics::Side;
 use crate::node::Node;
 use crate::transport::kept::KeptAnswer;
 
@@ -16,15 +21,25 @@
     pub node: Arc<Node>,
     /// The call.
     pub ticket: Ticket,
+    side: Side,
+    priority: Priority,
+    began: Time,
     armed: bool,
 }
 
 impl RunGuard {
     /// Guards a call.
-    pub fn new(node: &Arc<Node>, ticket: Ticket) -> RunGuard {
+    pub fn new(node: &Arc<Node>, ticket: Ticket, source: &Source, priority: Priority) -> RunGuard {
+        let side = match source {
+            Source::Caller { .. } => Side::Entry,
+            Source::Node(_) => Side::Ingress,
+        };
         RunGuard {
             node: node.clone(),
             ticket,
+            side,
+            priority,
+            began: node.clock.now(),
             armed: true,
         }
     }
@@ -32,6 +47,19 @@
     /// Ends the call. Returns the spare attempts that it used.
     pub fn end(mut self, outcome: &Outcome<Option<KeptAnswer>>) -> u32 {
         self.armed = false;
+        self.finish(outcome)
+    }
+
+    fn finish(&self, outcome: &Outcome<Option<KeptAnswer>>) -> u32 {
+        let took = self.node.clock.now().since(self.began);
+        let end = CallEnd {
+            side: self.side,
+            service: &self.node.service,
+            priority: self.priority,
+            error: outcome.error(),
+            took,
+        };
+        self.node.count(&end);
         self.node.finish(self.ticket, outcome)
     }
 
@@ -50,8 +78,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         if self.armed {
-            self.node
-                .finish(self.ticket, &Outcome::Unknown(UnknownKind::Cancelled));
+            self.finish(&Outcome::Unknown(UnknownKind::Cancelled));
         }
     }
 }
--- a/src/transport/ingress.rs
+++ b/src/transport/ingress.rs
@@ -65,6 +65,9 @@
     req: &'r Request<'_>,
     data: Data<'r>,
 ) -> Result<Response<'r>, Refusal> {
+    if !node.is_ready() {
+        return Err(NotRunKind::NotReady.into());
+    }
     let mut call = read_call(node, req)?;
     let body = outgoing::read_body(node, &call.head, data).await?;
     let connection = Connection {
@@ -73,7 +76,7 @@
     };
     let ticket = node.next_ticket();
     let expected = node.waiters.expect(ticket);
-    let guard = RunGuard::new(node, ticket);
+    let guard = RunGuard::new(node, ticket, &call.source, call.context.priority);
     match arrive(node, ticket, &mut call, &body) {
         Arrived::Refused(refusal) => {
             move_sideways(guard, &call, body.again(), refusal, connection).await
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -39,6 +39,7 @@
     child: Child,
     ingress: SocketAddr,
     egress: SocketAddr,
+    peer: SocketAddr,
 }
 
 impl NodeProcess {
@@ -61,7 +62,7 @@
         let log = BufReader::new(child.stderr.take().unwrap());
         let mut lines = log.lines().map(|line| line.unwrap());
         let line = lines
-            .find(|line| line.contains("\"serving\""))
+            .find(|line| line.contains("\"listening\""))
             .expect("the node serves");
         std::thread::spawn(move || lines.for_each(drop));
         let line: serde_json::Value = serde_json::from_str(&line).unwrap();
@@ -70,6 +71,7 @@
             child,
             ingress: port("ingress"),
             egress: port("egress"),
+            peer: port("peer"),
         }
     }
 
@@ -80,7 +82,7 @@
             domain: "sur-1".into(),
             region: "sur".into(),
             ingress: self.ingress,
-            peer: "127.0.0.1:1".parse().unwrap(),
+            peer: self.peer,
             state: InstanceState::Live,
         }
     }
