--- a/tests/history/world.rs
+++ b/tests/history/world.rs
@@ -11,6 +11,7 @@
 use dragonflylead::instance::RegionName;
 use dragonflylead::instance::ServiceName;
 use dragonflylead::running::RunningNode;
+use dragonflylead::running::StartOptions;
 use dragonflylead::settings::FleetKeys;
 use dragonflylead::settings::Identity;
 use dragonflylead::settings::Ports;
@@ -72,9 +73,10 @@
             }
         }
         let instances: Vec<Instance> = world.members.iter().map(|m| m.instance.clone()).collect();
-        world.platform.set_instances(instances);
+        world.platform.set_instances(instances.clone());
         for member in &world.members {
-            member.node.knows_instances(world.members.len()).await;
+            member.node.ready().await;
+            member.node.knows(&instances).await;
         }
         world
     }
@@ -98,9 +100,8 @@
         };
         let settings = settings(&identity, self.platform.url(), target.address());
         let number = self.members.len() as u64;
-        let node = RunningNode::start(settings, seed.wrapping_add(number))
-            .await
-            .unwrap();
+        let options = StartOptions::new(seed.wrapping_add(number));
+        let node = RunningNode::start(settings, options).await.unwrap();
         target.set_egress(node.egress());
         let instance = Instance {
             name: identity.name,
