--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fetch;
 pub mod fingerprint;
 pub mod instance;
+pub mod load;
 pub mod logs;
 pub mod measure;
 pub mod metrics;
