--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -138,11 +138,11 @@
         if job.deadline <= now {
             return self.drop_call(job.ticket, NotRunKind::DeadlineInQueue, out);
         }
-        let non_idempotent = !job.idempotent;
+        let urgent = self.is_urgent(&job, now);
         self.queue.push(job, now);
         self.fill(now, out);
         self.shed_excess(now, out);
-        if non_idempotent {
+        if urgent {
             self.preempt_for_urgent(now, out);
         }
     }
@@ -270,7 +270,7 @@
         let urgent: Vec<(Priority, bool)> = self
             .queue
             .iter()
-            .filter(|w| !w.job.idempotent && self.is_urgent(w, now))
+            .filter(|w| self.is_urgent(&w.job, now))
             .map(|w| (w.job.priority, w.job.exclusive))
             .collect();
         let mut pending = self.slots.preempting();
@@ -309,10 +309,10 @@
         judged && remaining < self.service_time(waiting.job.priority)
     }
 
-    fn is_urgent(&self, waiting: &Waiting, now: Time) -> bool {
-        let service = self.service_time(waiting.job.priority);
-        let margin = service * URGENT_ESTIMATES + PREEMPT_MARGIN;
-        waiting.job.deadline.since(now) < margin
+    /// Returns whether a non-idempotent call would miss its deadline by waiting much longer.
+    fn is_urgent(&self, job: &Job, now: Time) -> bool {
+        let margin = self.service_time(job.priority) * URGENT_ESTIMATES + PREEMPT_MARGIN;
+        !job.idempotent && job.deadline.since(now) < margin
     }
 
     /// Lets an idempotent call run against the estimate once in a while, so that the estimate
