--- a/src/coordination/control/platform.rs
+++ b/src/coordination/control/platform.rs
@@ -38,6 +38,9 @@
 impl Control {
     /// Takes the platform's answer to a watch of the configuration.
     pub fn config_answer(&mut self, now: Time, answer: Answer<&str>) -> Vec<Action> {
+        if !matches!(answer, Answer::Failed) {
+            self.confirmed = Some(now);
+        }
         let Some((revision, text)) = self.newer(Kind::Config, answer) else {
             return Vec::new();
         };
@@ -134,17 +137,16 @@
         R: Rng,
     {
         let state = &self.watches[kind as usize];
-        if state.failures > 0 {
-            return reader::backoff(state.failures, rng);
-        }
-        if state.started {
-            return reader::CALL_GAP;
-        }
         let listless = self.list.stamp().revision == Revision::default();
-        if !listless {
-            return Duration::ZERO;
-        }
         let spread = reader::start_spread(self.fleet_size);
-        spread.mul_f64(rng.random_range(0.0..1.0))
+        match (listless, state.started) {
+            (true, false) => spread.mul_f64(rng.random_range(0.0..1.0)),
+            (true, true) => {
+                let again = spread.mul_f64(rng.random_range(0.5..1.5));
+                again + reader::backoff(state.failures, rng)
+            }
+            (false, false) => Duration::ZERO,
+            (false, true) => reader::backoff(state.failures, rng).max(reader::CALL_GAP),
+        }
     }
 }
--- /dev/null
+++ b/src/coordination/gate/arrive.rs
@@ -0,0 +1,252 @@
+//! What happens to a call between its arrival and admission.
+
+use rand::CryptoRng;
+
+use crate::call::MAX_DEPTH;
+use crate::call::RequestId;
+use crate::clock::Time;
+use crate::coordination::admission::Effect;
+use crate::coordination::budget::Sighting;
+use crate::coordination::gate::Arrival;
+use crate::coordination::gate::Arrived;
+use crate::coordination::gate::Gate;
+use crate::coordination::gate::Refusal;
+use crate::coordination::gate::Source;
+use crate::coordination::held::Held;
+use crate::coordination::held::HeldCall;
+use crate::coordination::held::Stage;
+use crate::coordination::join::Join;
+use crate::coordination::join::RunKey;
+use crate::coordination::poison::Verdict;
+use crate::coordination::token::Spend;
+use crate::coordination::token::Token;
+use crate::error::ErrorKind;
+use crate::error::NotRunKind;
+use crate::error::UnknownKind;
+use crate::fingerprint::Fingerprint;
+
+impl<A> Gate<A>
+where
+    A: Clone,
+{
+    /// Decides about a call that arrives.
+    pub fn arrive<R>(
+        &self,
+        arrival: &mut Arrival<'_>,
+        now: Time,
+        rng: &mut R,
+        effects: &mut Vec<Effect>,
+    ) -> Arrived<A>
+    where
+        R: CryptoRng,
+    {
+        let may_mint = self.with_pause(|pause| {
+            pause.look(now);
+            pause.may_mint()
+        });
+        let mut held = self.held.lock();
+        if let Err(kind) = check(&mut held, arrival) {
+            return Arrived::Refused(kind.into());
+        }
+        let token = match self.spend(&mut held, arrival, now) {
+            Ok(token) => token,
+            Err(Arrived::Refused(refusal)) if wants_token(refusal.kind) => {
+                drop(held);
+                return Arrived::Refused(self.with_token(refusal, may_mint, now, rng));
+            }
+            Err(arrived) => return arrived,
+        };
+        let placed = self.place(&mut held, arrival, now);
+        self.hold(&mut held, arrival, token, placed, now, effects)
+    }
+
+    /// Spends the token of a non-idempotent call. Returns the token to end with the call.
+    fn spend(
+        &self,
+        held: &mut Held,
+        arrival: &Arrival<'_>,
+        now: Time,
+    ) -> Result<Option<Token>, Arrived<A>> {
+        if arrival.context.idempotent {
+            return Ok(None);
+        }
+        let refused = |kind: ErrorKind| Arrived::Refused(kind.into());
+        let Some(text) = arrival.token else {
+            return match arrival.source {
+                Source::Node(_) => Ok(None),
+                Source::Caller { .. } => Err(refused(NotRunKind::TokenRequired.into())),
+            };
+        };
+        let token: Token = text
+            .parse()
+            .map_err(|_| refused(NotRunKind::BadRequest.into()))?;
+        let spend = self.tokens.lock().spend(now, &token, arrival.fingerprint);
+        match spend {
+            Spend::Run => Ok(Some(token)),
+            Spend::Replay(answer) => Err(Arrived::Replayed(answer)),
+            Spend::Refused(kind) => Err(refused(kind)),
+            Spend::InProgress => {
+                let key = token_key(&token, arrival.fingerprint);
+                let Some(leader) = held.joins.follow(key, arrival.ticket) else {
+                    return Err(refused(UnknownKind::InProgress.into()));
+                };
+                let call = held_call(arrival, Stage::Following, None, Some(key), now);
+                held.by_ticket.insert(arrival.ticket, call);
+                Err(Arrived::Joined(leader))
+            }
+        }
+    }
+
+    /// Adds a fresh token to a refusal that asks for one, if one may be minted.
+    fn with_token<R>(&self, refusal: Refusal, may_mint: bool, now: Time, rng: &mut R) -> Refusal
+    where
+        R: CryptoRng,
+    {
+        if self.is_draining() {
+            return NotRunKind::Draining.into();
+        }
+        if !may_mint {
+            return NotRunKind::NotReady.into();
+        }
+        match self.tokens.lock().mint(now, rng) {
+            Ok(token) => Refusal {
+                token: Some(token.to_string()),
+                ..refusal
+            },
+            Err(kind) => kind.into(),
+        }
+    }
+
+    /// Decides whether a call may be run here, and whether it must run alone.
+    fn place(
+        &self,
+        held: &mut Held,
+        arrival: &mut Arrival<'_>,
+        now: Time,
+    ) -> Result<bool, NotRunKind> {
+        if matches!(arrival.source, Source::Caller { named: true, .. }) {
+            let request = scoped(arrival);
+            match held.requests.note(now, request, arrival.fingerprint) {
+                Sighting::First => {}
+                Sighting::Again => arrival.context.spare = 0,
+                Sighting::Mismatch => return Err(NotRunKind::RequestMismatch),
+            }
+        }
+        if self.is_draining() {
+            return Err(NotRunKind::Draining);
+        }
+        let alone = match self.suspects.lock().verdict(now, arrival.fingerprint) {
+            Verdict::Clear => false,
+            Verdict::Alone => true,
+            Verdict::Quarantined => return Err(NotRunKind::Quarantined),
+        };
+        let entered = matches!(arrival.source, Source::Caller { .. });
+        match self.intake.lock().lets_in(arrival.context, entered, now) {
+            true => Ok(alone),
+            false => Err(NotRunKind::Shed),
+        }
+    }
+
+    /// Holds a call, and offers it to admission unless it is refused or shares a run.
+    fn hold(
+        &self,
+        held: &mut Held,
+        arrival: &Arrival<'_>,
+        token: Option<Token>,
+        placed: Result<bool, NotRunKind>,
+        now: Time,
+        effects: &mut Vec<Effect>,
+    ) -> Arrived<A> {
+        let key = match token {
+            Some(token) => Some(token_key(&token, arrival.fingerprint)),
+            None => share_key(arrival).filter(|_| self.joins),
+        };
+        let exclusive = match placed {
+            Ok(exclusive) => exclusive,
+            Err(kind) => {
+                let key = key.filter(|_| token.is_some());
+                key.map(|key| held.joins.join(key, arrival.ticket));
+                let call = held_call(arrival, Stage::Refused, token, key, now);
+                held.by_ticket.insert(arrival.ticket, call);
+                return Arrived::Refused(kind.into());
+            }
+        };
+        let joined = key.map(|key| held.joins.join(key, arrival.ticket));
+        if let Some(Join::Follow(leader)) = joined {
+            let call = held_call(arrival, Stage::Following, token, key, now);
+            held.by_ticket.insert(arrival.ticket, call);
+            return Arrived::Joined(leader);
+        }
+        let key = key.filter(|_| joined == Some(Join::Lead));
+        let mut call = held_call(arrival, Stage::Queued, token, key, now);
+        call.exclusive = exclusive;
+        let job = call.job(arrival.ticket);
+        held.by_ticket.insert(arrival.ticket, call);
+        self.intake.lock().admission().offer(job, now, effects);
+        Arrived::Offered
+    }
+}
+
+/// Refuses a call that is too deep, was seen before, or finds no room.
+fn check(held: &mut Held, arrival: &Arrival<'_>) -> Result<(), NotRunKind> {
+    if arrival.context.depth > MAX_DEPTH {
+        return Err(NotRunKind::TooDeep);
+    }
+    if !held.has_room() {
+        return Err(NotRunKind::Overloaded);
+    }
+    match &arrival.source {
+        Source::Node(attempt) if !held.attempts.note(attempt) => Err(NotRunKind::HopRejected),
+        _ => Ok(()),
+    }
+}
+
+fn wants_token(kind: ErrorKind) -> bool {
+    let kinds = [NotRunKind::TokenRequired, NotRunKind::TokenBurned];
+    kinds.map(ErrorKind::from).contains(&kind)
+}
+
+fn token_key(token: &Token, fingerprint: Fingerprint) -> RunKey {
+    RunKey {
+        request: RequestId(token.number()),
+        fingerprint,
+    }
+}
+
+/// Returns the request id, told apart from the same id of another caller.
+fn scoped(arrival: &Arrival<'_>) -> RequestId {
+    let RequestId(id) = arrival.context.request;
+    match arrival.source {
+        Source::Caller { caller, .. } => RequestId(id ^ u128::from(caller)),
+        Source::Node(_) => RequestId(id),
+    }
+}
+
+/// Returns the run that an idempotent call may share.
+fn share_key(arrival: &Arrival<'_>) -> Option<RunKey> {
+    let key = RunKey {
+        request: scoped(arrival),
+        fingerprint: arrival.fingerprint,
+    };
+    (arrival.context.idempotent && arrival.whole).then_some(key)
+}
+
+fn held_call(
+    arrival: &Arrival<'_>,
+    stage: Stage,
+    token: Option<Token>,
+    key: Option<RunKey>,
+    now: Time,
+) -> HeldCall {
+    HeldCall {
+        context: arrival.context.clone(),
+        deadline: now.plus(arrival.context.remaining),
+        stage,
+        token,
+        key,
+        fingerprint: arrival.fingerprint,
+        exclusive: false,
+        crashed: false,
+        shared: None,
+    }
+}
--- /dev/null
+++ b/src/coordination/held.rs
@@ -0,0 +1,163 @@
+//! The calls that a node holds, from their arrival until their outcome is told.
+
+use std::collections::BTreeMap;
+
+use crate::call::CallContext;
+use crate::call::RequestId;
+use crate::clock::Time;
+use crate::coordination::attempts::SeenAttempts;
+use crate::coordination::budget::SeenRequests;
+use crate::coordination::join::Join;
+use crate::coordination::join::Joins;
+use crate::coordination::join::RunKey;
+use crate::coordination::queue::Job;
+use crate::coordination::queue::Ticket;
+use crate::coordination::token::Token;
+use crate::error::UnknownKind;
+use crate::fingerprint::Fingerprint;
+use crate::state::calls::Calls;
+use crate::state::calls::ContextId;
+
+/// Calls held at once at most.
+pub const MAX_HELD: usize = 16_384;
+
+/// Where a held call stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It waits for a slot.
+    Queued,
+    /// It waits for the run of another call.
+    Following,
+    /// It was refused here, and may be tried at another instance.
+    Refused,
+    /// Its target runs it, and knows it by this id.
+    Running(ContextId),
+}
+
+/// One held call.
+#[derive(Clone, Debug)]
+pub struct HeldCall {
+    /// Context of the call.
+    pub context: CallContext,
+    /// Time after which nobody waits for it.
+    pub deadline: Time,
+    /// Where it stands.
+    pub stage: Stage,
+    /// Token that it spends.
+    pub token: Option<Token>,
+    /// Run that it shares, as leader or follower.
+    pub key: Option<RunKey>,
+    /// What it asks for.
+    pub fingerprint: Fingerprint,
+    /// Whether it must run alone.
+    pub exclusive: bool,
+    /// Whether its target crashed while running it.
+    pub crashed: bool,
+    /// How a run that it shared ended, if that run may have taken place.
+    pub shared: Option<UnknownKind>,
+}
+
+impl HeldCall {
+    /// Returns the job that asks admission for a slot.
+    pub fn job(&self, ticket: Ticket) -> Job {
+        Job {
+            ticket,
+            priority: self.context.priority,
+            cohort: self.context.cohort(),
+            idempotent: self.context.idempotent,
+            deadline: self.deadline,
+            exclusive: self.exclusive,
+        }
+    }
+
+    /// Returns whether its target runs it.
+    pub fn is_running(&self) -> bool {
+        matches!(self.stage, Stage::Running(_))
+    }
+}
+
+/// The held calls, and what is known of calls held before.
+#[derive(Debug, Default)]
+pub struct Held {
+    /// The held calls.
+    pub by_ticket: BTreeMap<Ticket, HeldCall>,
+    /// Contexts of running calls, and the leases of their sub-calls.
+    pub calls: Calls,
+    /// Runs that calls share.
+    pub joins: Joins,
+    /// Requests that entered here.
+    pub requests: SeenRequests,
+    /// Attempts of other nodes.
+    pub attempts: SeenAttempts,
+}
+
+impl Held {
+    /// Returns whether one more call can be held.
+    pub fn has_room(&self) -> bool {
+        self.by_ticket.len() < MAX_HELD
+    }
+
+    /// Returns the calls that belong to a request.
+    pub fn of_request(&self, request: RequestId) -> Vec<Ticket> {
+        self.by_ticket
+            .iter()
+            .filter(|(_, call)| call.context.request == request)
+            .map(|(ticket, _)| *ticket)
+            .collect()
+    }
+
+    /// Marks the running calls as crashed, and returns those that were not marked before.
+    pub fn crash(&mut self) -> Vec<Fingerprint> {
+        self.by_ticket
+            .values_mut()
+            .filter(|call| call.is_running() && !call.crashed)
+            .map(|call| {
+                call.crashed = true;
+                call.fingerprint
+            })
+            .collect()
+    }
+
+    /// Takes a call out of the run that it leads, and returns the calls that share its outcome.
+    pub fn followers(&mut self, ticket: Ticket, call: &HeldCall) -> Vec<Ticket> {
+        let Some(key) = call.key else {
+            return Vec::new();
+        };
+        if call.stage == Stage::Following {
+            self.joins.leave(key, ticket);
+            return Vec::new();
+        }
+        let mut sharing = self.joins.finish(key, ticket);
+        sharing.retain(|other| *other != ticket && self.by_ticket.contains_key(other));
+        sharing
+    }
+
+    /// Lets calls whose shared run ended without an answer for them share a new one.
+    ///
+    /// The first that still has time leads it; its job asks for a slot. Those without time are left
+    /// in `sharing`.
+    pub fn lead_again(
+        &mut self,
+        sharing: &mut Vec<Ticket>,
+        ended: Option<UnknownKind>,
+        now: Time,
+    ) -> Vec<Job> {
+        let mut jobs = Vec::new();
+        sharing.retain(|ticket| {
+            let Some(call) = self.by_ticket.get_mut(ticket) else {
+                return true;
+            };
+            if now >= call.deadline {
+                return true;
+            }
+            call.shared = ended;
+            let joined = call.key.map(|key| self.joins.join(key, *ticket));
+            if !matches!(joined, Some(Join::Follow(_))) {
+                call.stage = Stage::Queued;
+                jobs.push(call.job(*ticket));
+            }
+            false
+        });
+        jobs
+    }
+}
--- a/src/transport/ingress.rs
+++ b/src/transport/ingress.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
 use rocket::Data;
@@ -12,20 +13,19 @@
 use tokio::sync::oneshot;
 
 use crate::call::CallContext;
-use crate::call::RequestId;
 use crate::clock::Time;
 use crate::coordination::admission::Ticket;
 use crate::coordination::gate::Arrival;
 use crate::coordination::gate::Arrived;
 use crate::coordination::gate::Refusal;
-use crate::coordination::treatment::Treatment;
+use crate::coordination::gate::Source;
 use crate::error::ErrorKind;
 use crate::error::NotRunKind;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
 use crate::node::Node;
 use crate::protocol::header;
-use crate::protocol::hop::HopError;
+use crate::state::calls::ContextId;
 use crate::transport::body;
 use crate::transport::body::AnswerBody;
 use crate::transport::body::AnswerStream;
@@ -34,12 +34,16 @@
 use crate::transport::egress;
 use crate::transport::forward;
 use crate::transport::forward::Answer;
-use crate::transport::head::Head;
+use crate::transport::guard::RunGuard;
+use crate::transport::incoming::Incoming;
+use crate::transport::incoming::fingerprint;
+use crate::transport::incoming::read_call;
 use crate::transport::kept::KeptAnswer;
 use crate::transport::outgoing;
 use crate::transport::reply;
 use crate::transport::reply::Connection;
 use crate::waiters::Expected;
+use crate::waiters::Told;
 
 /// Serves calls that arrive for the instance.
 #[derive(Clone)]
@@ -56,144 +60,120 @@
     }
 }
 
-/// A call with its head read and its context known.
-struct Incoming {
-    head: Head,
-    context: CallContext,
-    resent: bool,
-    entered: bool,
-    cross_region: bool,
-}
-
 async fn serve<'r>(
     node: &Arc<Node>,
     req: &'r Request<'_>,
     data: Data<'r>,
 ) -> Result<Response<'r>, Refusal> {
-    let call = read_call(node, req)?;
-    let body = outgoing::read_body(node, &call.head, data)
-        .await
-        .map_err(refusal)?;
+    if !node.is_ready() {
+        return Err(NotRunKind::NotReady.into());
+    }
+    let mut call = read_call(node, req)?;
+    let body = outgoing::read_body(node, &call.head, data).await?;
     let connection = Connection {
         local_port: node.ingress_port(),
         remote: req.remote(),
     };
     let ticket = node.next_ticket();
-    let Expected { start, stop } = node.waiters.expect(ticket);
-    match arrive(node, ticket, &call) {
+    let expected = node.waiters.expect(ticket);
+    let guard = RunGuard::new(node, ticket, &call.source, call.context.priority);
+    match arrive(node, ticket, &mut call, &body) {
         Arrived::Refused(refusal) => {
-            node.waiters.forget(ticket);
-            move_sideways(node, &call, body, refusal, connection).await
+            move_sideways(guard, &call, body.again(), refusal, connection).await
         }
         Arrived::Replayed(kept) => {
-            node.waiters.forget(ticket);
-            Ok(reply::completed(
-                kept.to_answer(),
-                &node.notes(None),
-                None,
-                connection,
-            ))
+            let notes = node.notes(None);
+            Ok(reply::completed(kept.to_answer(), &notes, None, connection))
         }
         Arrived::Joined(_) | Arrived::Offered => {
-            let deadline = node.clock.now().plus(call.context.remaining);
-            match wait_for_slot(node, ticket, start, deadline).await {
-                Ok(()) => run(node, ticket, &call, body, stop, deadline, connection).await,
-                Err(kind) => {
-                    let refusal = Refusal {
-                        kind: kind.into(),
-                        token: None,
-                    };
-                    move_sideways(node, &call, body, refusal, connection).await
-                }
-            }
+            wait(guard, &call, body, expected, connection).await
         }
     }
 }
 
-fn read_call(node: &Node, req: &Request<'_>) -> Result<Incoming, Refusal> {
-    let head = Head::read(req, node.settings.limits.max_header_bytes as usize).map_err(refusal)?;
-    match head.text(header::HOP).map(|text| node.accept_hop(text)) {
-        Some(Ok(context)) => Ok(Incoming {
-            head,
-            context,
-            resent: false,
-            entered: false,
-            cross_region: false,
-        }),
-        Some(Err(HopError::Version(_))) => Err(refusal(NotRunKind::Version)),
-        Some(Err(_)) => Err(refusal(NotRunKind::HopRejected)),
-        None => enter(node, head).map_err(refusal),
-    }
-}
-
-fn enter(node: &Node, head: Head) -> Result<Incoming, NotRunKind> {
-    let policy = node.policy();
-    let service = node.service.as_str();
-    let rule = policy.rule_for(head.method.as_str(), service, head.path());
-    let treatment = Treatment::new(rule, head.method.as_str());
-    let resent = head.number(header::ATTEMPT)?.unwrap_or(0) > 0;
-    let waits = head.number(header::TIMEOUT_MS)?.map(Duration::from_millis);
-    let request = match head.text(header::REQUEST_ID) {
-        Some(text) => RequestId::from_text(text),
-        None => node.new_request_id(),
+fn arrive(
+    node: &Node,
+    ticket: Ticket,
+    call: &mut Incoming,
+    body: &RequestBody<'_>,
+) -> Arrived<KeptAnswer> {
+    let held = match body {
+        RequestBody::Held(bytes) => Some(bytes),
+        RequestBody::Streamed { .. } => None,
     };
-    let context = treatment.root(request, waits, resent);
-    let cross_region = treatment.cross_region;
-    Ok(Incoming {
-        head,
-        context,
-        resent,
-        entered: true,
-        cross_region,
-    })
-}
-
-fn arrive(node: &Arc<Node>, ticket: Ticket, call: &Incoming) -> Arrived<KeptAnswer> {
-    let arrival = Arrival {
+    let fingerprint = fingerprint(node, &call.head, held);
+    let mut arrival = Arrival {
         ticket,
-        context: &call.context,
+        context: &mut call.context,
+        source: call.source.clone(),
         token: call.head.text(header::TOKEN),
-        resent: call.resent,
+        fingerprint,
+        whole: held.is_some(),
     };
-    let mut effects = Vec::new();
-    let arrived = node.gate.arrive(&arrival, node.clock.now(), &mut effects);
-    node.waiters.apply(&effects);
-    arrived
+    node.arrive(&mut arrival)
 }
 
-async fn wait_for_slot(
-    node: &Node,
-    ticket: Ticket,
-    start: oneshot::Receiver<Result<(), NotRunKind>>,
-    deadline: Time,
-) -> Result<(), NotRunKind> {
-    let left = deadline.since(node.clock.now());
-    let told = tokio::time::timeout(left, start).await;
-    let kind = match told {
-        Ok(Ok(Ok(()))) => return Ok(()),
-        Ok(Ok(Err(kind))) => kind,
-        Ok(Err(_)) | Err(_) => NotRunKind::DeadlineInQueue,
+/// Waits until a call starts here, is dropped, or gets the outcome of the run that it shares.
+async fn wait<'r>(
+    guard: RunGuard,
+    call: &Incoming,
+    body: RequestBody<'r>,
+    mut expected: Expected,
+    connection: Connection,
+) -> Result<Response<'r>, Refusal> {
+    let node = guard.node.clone();
+    let deadline = node.clock.now().plus(call.context.remaining);
+    let dropped = tokio::select! {
+        biased;
+        told = expected.start => match told {
+            Ok(Told::Start) => {
+                return run(guard, call, body, expected.stop, deadline, connection).await;
+            }
+            Ok(Told::Shared(outcome)) => return share(guard, outcome, connection),
+            Ok(Told::Drop(kind)) => node.gate.dropped(guard.ticket, kind),
+            Err(_) => node.gate.dropped(guard.ticket, NotRunKind::DeadlineInQueue),
+        },
+        kind = &mut expected.stop => kind.unwrap_or(UnknownKind::Cancelled).into(),
+        () = tokio::time::sleep(deadline.since(node.clock.now())) => {
+            node.gate.dropped(guard.ticket, NotRunKind::DeadlineInQueue)
+        }
     };
-    node.give_up(ticket);
-    Err(kind)
+    move_sideways(guard, call, body.again(), dropped.into(), connection).await
+}
+
+/// Answers with the outcome of the run that a call shares.
+fn share<'r>(
+    guard: RunGuard,
+    outcome: Outcome<KeptAnswer>,
+    connection: Connection,
+) -> Result<Response<'r>, Refusal> {
+    let node = guard.node.clone();
+    match outcome {
+        Outcome::Completed(kept) => {
+            let spent = guard.end(&Outcome::Completed(Some(kept.clone())));
+            let notes = node.notes(Some(spent));
+            Ok(reply::completed(kept.to_answer(), &notes, None, connection))
+        }
+        Outcome::NotRun(kind) => Err(guard.refuse(kind.into())),
+        Outcome::Unknown(kind) => Err(guard.refuse(kind.into())),
+    }
 }
 
 async fn run<'r>(
-    node: &Arc<Node>,
-    ticket: Ticket,
+    guard: RunGuard,
     call: &Incoming,
     body: RequestBody<'r>,
     stop: oneshot::Receiver<UnknownKind>,
     deadline: Time,
     connection: Connection,
 ) -> Result<Response<'r>, Refusal> {
-    let guard = RunGuard {
-        node: node.clone(),
-        ticket,
-        armed: true,
+    let node = guard.node.clone();
+    let Some(id) = node.begin(guard.ticket) else {
+        return Err(guard.refuse(NotRunKind::Overloaded.into()));
     };
-    let req = target_request(node, ticket, call, deadline);
-    let (req, mut pump) = outgoing::with_body(node, req, body);
+    let again = body.again();
+    let req = target_request(&node, id, call, deadline);
+    let (req, mut pump) = outgoing::with_body(&node, req, body);
     let left = deadline.since(node.clock.now());
     let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
     let outcome = tokio::select! {
@@ -204,19 +184,39 @@
     match outcome {
         Outcome::Completed(answer) => Ok(pass_on(guard, answer, pump, deadline, connection)),
         Outcome::NotRun(kind) => {
-            guard.end(Outcome::NotRun(kind));
-            Err(refusal(kind))
+            let refused = refused_by_target(kind).into();
+            move_sideways(guard, call, again, refused, connection).await
         }
         Outcome::Unknown(kind) => {
-            guard.end(Outcome::Unknown(kind));
-            Err(Refusal {
-                kind: kind.into(),
-                token: None,
-            })
+            let kind = check_crash(&node, kind).await;
+            Err(guard.refuse(kind.into()))
         }
     }
 }
 
+/// A target that can't be reached refuses its calls, and another one may take them.
+fn refused_by_target(kind: NotRunKind) -> NotRunKind {
+    match kind {
+        NotRunKind::NoInstance => NotRunKind::TargetRefused,
+        kind => kind,
+    }
+}
+
+/// Tells a crash of the target from a connection that was lost: after a crash nothing listens.
+async fn check_crash(node: &Node, kind: UnknownKind) -> UnknownKind {
+    let broken = [UnknownKind::ConnectionLost, UnknownKind::AnswerTruncated];
+    if !broken.contains(&kind) {
+        return kind;
+    }
+    match tokio::net::TcpStream::connect(node.settings.target).await {
+        Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+            node.target_crashed();
+            UnknownKind::TargetCrashed
+        }
+        _ => kind,
+    }
+}
+
 /// Hands an answer on; a streamed one ends its call when it ends.
 fn pass_on<'r>(
     guard: RunGuard,
@@ -229,12 +229,12 @@
     let spent = match answer.body {
         AnswerBody::Held(ref bytes) => {
             let kept = KeptAnswer::new(answer.status, &answer.headers, bytes);
-            Some(guard.end(Outcome::Completed(Some(kept))))
+            Some(guard.end(&Outcome::Completed(Some(kept))))
         }
         AnswerBody::Streamed(stream) => {
             let stream = until(stream, deadline.since(node.clock.now()));
             let done = move |end| {
-                guard.end(streamed_outcome(end));
+                guard.end(&streamed_outcome(end));
             };
             answer.body = AnswerBody::Streamed(body::watched(stream, done));
             None
@@ -266,7 +266,7 @@
 
 fn target_request(
     node: &Node,
-    ticket: Ticket,
+    id: ContextId,
     call: &Incoming,
     deadline: Time,
 ) -> reqwest::RequestBuilder {
@@ -275,23 +275,25 @@
     node.client
         .request(call.head.method.clone(), url)
         .headers(call.head.forwarded())
-        .header(header::CONTEXT, node.begin(ticket))
+        .header(header::CONTEXT, id.to_string())
         .header(header::TIMEOUT_MS, left.to_string())
 }
 
 /// Tries the other instances of the service once for a call that was refused here.
+///
+/// Its token stays in progress until the moved call has ended.
 async fn move_sideways<'r>(
-    node: &Arc<Node>,
+    guard: RunGuard,
     call: &Incoming,
-    body: RequestBody<'r>,
+    body: Option<Bytes>,
     refused: Refusal,
     connection: Connection,
 ) -> Result<Response<'r>, Refusal> {
-    let RequestBody::Held(bytes) = body else {
-        return Err(refused);
+    let Some(bytes) = body else {
+        return Err(guard.refuse_with(refused));
     };
-    if !call.entered || call.context.spare == 0 || !refused.kind.try_other() {
-        return Err(refused);
+    if !may_move(call, &refused) {
+        return Err(guard.refuse_with(refused));
     }
     let moved = CallContext {
         moved: true,
@@ -299,9 +301,9 @@
         depth: call.context.depth + 1,
         ..call.context.clone()
     };
-    let service = &node.service;
+    let node = guard.node.clone();
     let out = egress::Outgoing {
-        service,
+        service: &node.service,
         method: &call.head.method,
         target: &call.head.target,
         headers: call.head.forwarded(),
@@ -310,47 +312,20 @@
         cross_region: call.cross_region,
         not_to: Some(&node.name),
     };
-    match egress::send_call(node, &out).await {
-        (Outcome::Completed(answer), _) => Ok(reply::completed(
-            answer,
-            &node.notes(None),
-            None,
-            connection,
-        )),
-        (Outcome::NotRun(_), _) => Err(refused),
-        (Outcome::Unknown(kind), _) => Err(Refusal {
-            kind: kind.into(),
-            token: None,
-        }),
+    let deadline = node.clock.now().plus(moved.remaining);
+    match egress::send_call(&node, &out).await.0 {
+        Outcome::Completed(answer) => Ok(pass_on(guard, answer, None, deadline, connection)),
+        Outcome::NotRun(_) => Err(guard.refuse_with(refused)),
+        Outcome::Unknown(kind) => Err(guard.refuse(kind.into())),
     }
 }
 
-fn refusal(kind: NotRunKind) -> Refusal {
-    Refusal {
-        kind: ErrorKind::NotRun(kind),
-        token: None,
-    }
-}
-
-/// Ends a run exactly once, also when its handler is dropped.
-struct RunGuard {
-    node: Arc<Node>,
-    ticket: Ticket,
-    armed: bool,
-}
-
-impl RunGuard {
-    fn end(mut self, outcome: Outcome<Option<KeptAnswer>>) -> u32 {
-        self.armed = false;
-        self.node.finish(self.ticket, &outcome)
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        if self.armed {
-            self.node
-                .finish(self.ticket, &Outcome::Unknown(UnknownKind::Cancelled));
-        }
-    }
+/// Returns whether a call refused here may be tried at another instance.
+///
+/// A non-idempotent call that spends no token is not: its caller could not ask what became of it.
+fn may_move(call: &Incoming, refused: &Refusal) -> bool {
+    let entered = matches!(call.source, Source::Caller { .. });
+    let safe = call.context.idempotent || call.head.text(header::TOKEN).is_some();
+    let not_run = matches!(refused.kind, ErrorKind::NotRun(_));
+    entered && safe && not_run && call.context.spare > 0 && refused.kind.try_other()
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,9 +2,12 @@
 
 pub mod abort;
 pub mod body;
+pub mod control;
 pub mod egress;
 pub mod forward;
+pub mod guard;
 pub mod head;
+pub mod incoming;
 pub mod ingress;
 pub mod kept;
 pub mod operator;
--- a/src/waiters.rs
+++ b/src/waiters.rs
@@ -9,18 +9,31 @@
 use crate::coordination::admission::Effect;
 use crate::coordination::admission::Ticket;
 use crate::error::NotRunKind;
+use crate::error::Outcome;
 use crate::error::UnknownKind;
+use crate::transport::kept::KeptAnswer;
+
+/// What a handler is told about its call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Run it now.
+    Start,
+    /// It is not run here.
+    Drop(NotRunKind),
+    /// It ended as the run that it shares.
+    Shared(Outcome<KeptAnswer>),
+}
 
 struct Waiter {
-    start: Option<oneshot::Sender<Result<(), NotRunKind>>>,
+    start: Option<oneshot::Sender<Told>>,
     stop: Option<oneshot::Sender<UnknownKind>>,
 }
 
 /// What a handler waits for.
 #[derive(Debug)]
 pub struct Expected {
-    /// Whether the call starts.
-    pub start: oneshot::Receiver<Result<(), NotRunKind>>,
+    /// What becomes of the call.
+    pub start: oneshot::Receiver<Told>,
     /// Whether the call must stop after it has started.
     pub stop: oneshot::Receiver<UnknownKind>,
 }
@@ -54,8 +67,8 @@
         let mut waiters = self.lock();
         for effect in effects {
             match *effect {
-                Effect::Start(ticket) => tell_start(&mut waiters, ticket, Ok(())),
-                Effect::Drop(ticket, kind) => tell_start(&mut waiters, ticket, Err(kind)),
+                Effect::Start(ticket) => tell(&mut waiters, ticket, Told::Start),
+                Effect::Drop(ticket, kind) => tell(&mut waiters, ticket, Told::Drop(kind)),
                 Effect::Preempt(ticket) => {
                     tell_stop(&mut waiters, ticket, UnknownKind::Preempted);
                 }
@@ -63,6 +76,15 @@
         }
     }
 
+    /// Tells handlers how the run that they share ended.
+    pub fn share(&self, sharing: &[Ticket], outcome: &Outcome<Option<KeptAnswer>>) {
+        let mut waiters = self.lock();
+        for ticket in sharing {
+            let told = Told::Shared(shared(outcome));
+            tell(&mut waiters, *ticket, told);
+        }
+    }
+
     /// Tells the handler of a ticket to stop.
     pub fn stop(&self, ticket: Ticket, kind: UnknownKind) {
         tell_stop(&mut self.lock(), ticket, kind);
@@ -73,7 +95,16 @@
     }
 }
 
-fn tell_start(waiters: &mut HashMap<Ticket, Waiter>, ticket: Ticket, told: Result<(), NotRunKind>) {
+fn shared(outcome: &Outcome<Option<KeptAnswer>>) -> Outcome<KeptAnswer> {
+    match outcome {
+        Outcome::Completed(Some(kept)) => Outcome::Completed(kept.clone()),
+        Outcome::Completed(None) => Outcome::Unknown(UnknownKind::AnswerNotKept),
+        Outcome::NotRun(kind) => Outcome::NotRun(*kind),
+        Outcome::Unknown(kind) => Outcome::Unknown(*kind),
+    }
+}
+
+fn tell(waiters: &mut HashMap<Ticket, Waiter>, ticket: Ticket, told: Told) {
     let start = waiters.get_mut(&ticket).and_then(|w| w.start.take());
     if let Some(start) = start {
         let _ = start.send(told);
