Watch the platform for the fleet from three domains only

The first reader of three failure domains watches the platform; it pushes a delta to the first reader of each other domain. The other readers watch only after 6 s without hearing of one that does, and otherwise look every 60 s.

--- a/src/coordination/control/exchange.rs
+++ b/src/coordination/control/exchange.rs
@@ -27,6 +27,9 @@
 use crate::instance::DomainName;
 use crate::instance::InstanceName;
 
+/// Share of the exchanges across domains that go to a reader which watches the platform.
+const WATCHER_SHARE: f64 = 0.75;
+
 impl Control {
     pub(super) fn exchange_with(&self, to: Contact) -> Action {
         Action::Send {
@@ -79,6 +82,7 @@
                 }
             }
         }
+        self.hear_of(now, &exchanged.status);
         self.phase.answered(to, &self.me.domain, &exchanged.status);
         self.phase.learn_readers(exchanged.readers);
         self.pull_if_newer(now, Some(to.clone()), &exchanged.status, rng, actions);
@@ -227,18 +231,46 @@
         self.readers.iter().filter_map(here).collect()
     }
 
-    /// Draws a reader of another domain, each domain as likely.
-    fn draw_far_reader<R>(&self, rng: &mut R) -> Option<Contact>
-    where
-        R: Rng,
-    {
+    fn far_domains(&self) -> BTreeMap<&DomainName, Vec<&InstanceName>> {
         let mut domains: BTreeMap<&DomainName, Vec<&InstanceName>> = BTreeMap::new();
         let reachable = self.members.iter().filter(|m| m.is_reachable());
         for member in reachable.filter(|m| m.instance.domain != self.me.domain) {
             let names = domains.entry(&member.instance.domain).or_default();
             names.push(name(member));
         }
-        let domains: Vec<Vec<&InstanceName>> = domains.into_values().collect();
+        domains
+    }
+
+    /// Returns the first reader of each other domain.
+    pub(super) fn first_far_readers(&self) -> Vec<Contact> {
+        let domains = self.far_domains().into_values();
+        let first = domains.filter_map(|names| reader::readers(names).first().copied());
+        first
+            .filter_map(|n| self.members.get(n))
+            .map(contact)
+            .collect()
+    }
+
+    /// Draws the first reader of a domain that watches the platform for others.
+    fn draw_watcher<R>(&self, rng: &mut R) -> Option<Contact>
+    where
+        R: Rng,
+    {
+        let mut domains = self.far_domains();
+        let all = domains.keys().copied().chain([&self.me.domain]);
+        let watch: Vec<DomainName> = reader::watch_domains(all).into_iter().cloned().collect();
+        let far: Vec<&DomainName> = watch.iter().filter(|d| **d != self.me.domain).collect();
+        let names = domains.remove(*far.choose(rng)?)?;
+        let first = reader::readers(names).first().copied()?;
+        self.members.get(first).map(contact)
+    }
+
+    /// Draws a reader of another domain, each domain as likely.
+    fn draw_far_reader<R>(&self, rng: &mut R) -> Option<Contact>
+    where
+        R: Rng,
+    {
+        let domains: Vec<Vec<&InstanceName>> = self.far_domains().into_values().collect();
         let names = domains.choose(rng)?;
         let readers = reader::readers(names.iter().copied());
         let chosen = readers.choose(rng)?;
@@ -263,7 +295,10 @@
         }
         if now >= self.next_cross && self.is_reader() {
             self.next_cross = now.plus(around(self.pace.cross, rng));
-            let chosen = self.draw_far_reader(rng);
+            let chosen = match rng.random_bool(WATCHER_SHARE) {
+                true => self.draw_watcher(rng),
+                false => self.draw_far_reader(rng),
+            };
             actions.extend(chosen.map(|to| self.exchange_with(to)));
         }
     }
--- a/src/coordination/control/message.rs
+++ b/src/coordination/control/message.rs
@@ -56,6 +56,8 @@
     pub draining: bool,
     /// Whether the node holds both documents whole.
     pub complete: bool,
+    /// Whether the node watches the platform, and the platform answers.
+    pub watching: bool,
 }
 
 impl Status {
--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -30,6 +30,7 @@
 use crate::coordination::members::Member;
 use crate::coordination::members::Members;
 use crate::coordination::reader;
+use crate::instance::DomainName;
 use crate::instance::Incarnation;
 use crate::instance::Instance;
 use crate::instance::InstanceName;
@@ -70,6 +71,9 @@
     services: BTreeSet<ServiceName>,
     logs: [DeltaLog; 2],
     outbox: [Option<Outbox>; 2],
+    far_outbox: [Option<Outbox>; 2],
+    watch_rank: Option<usize>,
+    watcher_heard: Option<Time>,
     watches: [WatchState; 2],
     repair_until: [Time; 2],
     members: Members,
@@ -114,6 +118,9 @@
             services,
             logs: Default::default(),
             outbox: [None, None],
+            far_outbox: [None, None],
+            watch_rank: None,
+            watcher_heard: None,
             watches: Default::default(),
             repair_until: [Time::ZERO; 2],
             members: Members::default(),
@@ -176,6 +183,7 @@
             ready: self.is_ready(),
             draining: self.draining,
             complete: self.is_complete(),
+            watching: self.is_watching(),
         }
     }
 
@@ -243,6 +251,7 @@
         self.exchange_regularly(now, rng, &mut actions);
         self.repair_regularly(now, rng, &mut actions);
         self.send_outbox(now, &mut actions);
+        self.send_far_outbox(now, &mut actions);
         self.watch(now, rng, &mut actions);
         actions
     }
@@ -319,6 +328,10 @@
         let listed = self.list.lines().filter_map(parse).collect();
         self.members.update(now, listed);
         self.rank_readers();
+        let domains: BTreeSet<&DomainName> =
+            self.members.iter().map(|m| &m.instance.domain).collect();
+        let watch = reader::watch_domains(domains);
+        self.watch_rank = watch.iter().position(|d| **d == self.me.domain);
         self.changed = true;
     }
 
--- a/src/coordination/control/platform.rs
+++ b/src/coordination/control/platform.rs
@@ -10,6 +10,7 @@
 use crate::coordination::control::Action;
 use crate::coordination::control::Control;
 use crate::coordination::control::Kind;
+use crate::coordination::control::Status;
 use crate::coordination::control::Watch;
 use crate::coordination::control::instance_line;
 use crate::coordination::document::Revision;
@@ -21,6 +22,8 @@
 pub(super) struct WatchState {
     running: bool,
     started: bool,
+    polls: bool,
+    next_poll: Time,
     failures: u32,
 }
 
@@ -49,7 +52,7 @@
                 self.document_changed(now, Kind::Config);
                 delta
                     .into_iter()
-                    .for_each(|d| self.spread(now, Kind::Config, d));
+                    .for_each(|d| self.spread_everywhere(now, Kind::Config, d));
             }
             Offered::Rejected(rejection) => actions.push(Action::Rejected(rejection)),
             Offered::Old => (),
@@ -72,7 +75,7 @@
             self.document_changed(now, Kind::List);
             delta
                 .into_iter()
-                .for_each(|d| self.spread(now, Kind::List, d));
+                .for_each(|d| self.spread_everywhere(now, Kind::List, d));
         }
     }
 
@@ -95,6 +98,9 @@
     }
 
     /// Starts the watches that are needed and not running.
+    ///
+    /// The first reader of a few domains always watches. The others watch only while they hear of
+    /// no reader that does, and otherwise look at long intervals.
     pub(super) fn watch<R>(&mut self, now: Time, rng: &mut R, actions: &mut Vec<Action>)
     where
         R: Rng,
@@ -105,17 +111,24 @@
             if self.watches[kind as usize].running || !(reader || listless) {
                 continue;
             }
-            let delay = self.watch_delay(kind, rng);
             let complete = self.document(kind).is_complete();
+            let polls = complete && !self.should_watch(now);
+            if polls && now < self.watches[kind as usize].next_poll {
+                continue;
+            }
+            let delay = self.watch_delay(kind, rng);
+            let next_poll = now.plus(reader::POLL_PERIOD.mul_f64(rng.random_range(0.5..1.5)));
             let state = &mut self.watches[kind as usize];
             state.running = true;
             state.started = true;
+            state.polls = polls;
+            state.next_poll = next_poll;
             let after = match kind {
                 _ if !complete => 0,
                 Kind::Config => self.config.seen().0,
                 Kind::List => self.list.stamp().revision.0,
             };
-            let wait = if complete {
+            let wait = if complete && !polls {
                 reader::WATCH_WAIT
             } else {
                 Duration::ZERO
@@ -129,6 +142,25 @@
         }
     }
 
+    fn should_watch(&self, now: Time) -> bool {
+        let first = self.reader_rank() == Some(0) && self.watch_rank.is_some();
+        let heard = self.watcher_heard;
+        first || heard.is_none_or(|at| now.since(at) > reader::WATCHER_SILENCE)
+    }
+
+    /// Returns whether both documents are watched and the platform answers.
+    pub(super) fn is_watching(&self) -> bool {
+        let answers = |w: &WatchState| w.running && w.failures == 0 && !w.polls;
+        self.is_complete() && self.watches.iter().all(answers)
+    }
+
+    /// Notes that another reader watches the platform.
+    pub(super) fn hear_of(&mut self, now: Time, theirs: &Status) {
+        if theirs.watching && theirs.ready {
+            self.watcher_heard = Some(now);
+        }
+    }
+
     fn watch_delay<R>(&self, kind: Kind, rng: &mut R) -> Duration
     where
         R: Rng,
--- a/src/coordination/control/spread.rs
+++ b/src/coordination/control/spread.rs
@@ -23,7 +23,7 @@
 use crate::coordination::reader;
 use crate::instance::InstanceName;
 
-/// A change that a reader will send to its domain.
+/// A change that a reader will send.
 #[derive(Clone, Debug)]
 pub(super) struct Outbox {
     delta: Delta,
@@ -51,6 +51,7 @@
         let reply = match request {
             Request::Exchange(theirs) => {
                 let reply = Reply::Exchanged(Box::new(self.exchanged(&theirs)));
+                self.hear_of(now, &theirs);
                 let contact = self.contact_of(from, &theirs);
                 self.pull_if_newer(now, contact, &theirs, rng, &mut actions);
                 reply
@@ -146,14 +147,38 @@
         self.logs[kind as usize].keep(&delta);
         let rank = self.reader_rank().unwrap_or(reader::READERS_PER_DOMAIN) as u32;
         let due = now.plus(self.pace.coalesce + self.pace.stagger * rank);
-        let outbox = &mut self.outbox[kind as usize];
-        *outbox = Some(match outbox.take() {
-            Some(earlier) => Outbox {
-                delta: earlier.delta.then(delta),
-                due: earlier.due,
-            },
-            None => Outbox { delta, due },
-        });
+        join(&mut self.outbox[kind as usize], delta, due);
+    }
+
+    /// Sends a change from the platform to the own domain and to a reader of each other domain,
+    /// unless another reader does so first.
+    pub(super) fn spread_everywhere(&mut self, now: Time, kind: Kind, delta: Delta) {
+        let domains_before = self.watch_rank.unwrap_or(reader::WATCH_DOMAINS);
+        let readers_before = self.reader_rank().unwrap_or(reader::READERS_PER_DOMAIN);
+        let before = domains_before + readers_before * (reader::WATCH_DOMAINS + 1);
+        let due = now.plus(self.pace.coalesce + self.pace.stagger * before as u32);
+        join(&mut self.far_outbox[kind as usize], delta.clone(), due);
+        self.spread(now, kind, delta);
+    }
+
+    pub(super) fn send_far_outbox(&mut self, now: Time, actions: &mut Vec<Action>) {
+        for kind in Kind::BOTH {
+            let outbox = &mut self.far_outbox[kind as usize];
+            let Some(Outbox { delta, .. }) = outbox.take_if(|o| o.due <= now) else {
+                continue;
+            };
+            let push = Push {
+                kind,
+                delta,
+                interval: Interval::EMPTY,
+            };
+            let send = |to| Action::Send {
+                to,
+                request: Request::Push(push.clone()),
+                tries: gossip::MAX_TRIES,
+            };
+            actions.extend(self.first_far_readers().into_iter().map(send));
+        }
     }
 
     pub(super) fn send_outbox(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -215,10 +240,18 @@
         R: Rng,
     {
         let kind = push.kind;
-        let outbox = &mut self.outbox[kind as usize];
+        let far = push.interval == Interval::EMPTY;
+        let outbox = match far {
+            true => &mut self.far_outbox[kind as usize],
+            false => &mut self.outbox[kind as usize],
+        };
         outbox.take_if(|o| o.delta.revision <= push.delta.revision);
         self.hand_on(kind, &push.delta, push.interval, actions);
-        if self.apply(now, kind, &push.delta) == Applied::Gap {
+        let applied = self.apply(now, kind, &push.delta);
+        if applied == Applied::Done && far {
+            self.spread(now, kind, push.delta);
+        }
+        if applied == Applied::Gap {
             let sender = self.members.get(&from.name).map(contact);
             match sender {
                 Some(to) => actions.push(self.exchange_with(to)),
@@ -227,3 +260,14 @@
         }
     }
 }
+
+/// Adds a change to one that waits to be sent.
+fn join(outbox: &mut Option<Outbox>, delta: Delta, due: Time) {
+    *outbox = Some(match outbox.take() {
+        Some(earlier) => Outbox {
+            delta: earlier.delta.then(delta),
+            due: earlier.due,
+        },
+        None => Outbox { delta, due },
+    });
+}
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -39,6 +39,9 @@
 }
 
 impl Interval {
+    /// No member.
+    pub const EMPTY: Interval = Interval { first: 1, last: 0 };
+
     /// The whole order.
     pub const ALL: Interval = Interval {
         first: 0,
--- a/src/coordination/reader.rs
+++ b/src/coordination/reader.rs
@@ -9,11 +9,21 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::instance::DomainName;
 use crate::instance::InstanceName;
 
 /// Readers of a failure domain.
 pub const READERS_PER_DOMAIN: usize = 3;
 
+/// Failure domains whose first reader always watches the platform.
+pub const WATCH_DOMAINS: usize = 3;
+
+/// Silence of the watching readers after which every other reader watches too.
+pub const WATCHER_SILENCE: Duration = Duration::from_secs(6);
+
+/// Time between two calls for a document of a reader that does not watch.
+pub const POLL_PERIOD: Duration = Duration::from_secs(60);
+
 /// Documents that a reader watches.
 pub const WATCHES_PER_READER: usize = 2;
 
@@ -49,6 +59,20 @@
     first.map(|(_, name)| name).collect()
 }
 
+/// Returns the failure domains whose first reader watches the platform, first in rank first.
+pub fn watch_domains<'a, I>(domains: I) -> Vec<&'a DomainName>
+where
+    I: IntoIterator<Item = &'a DomainName>,
+{
+    let mut ranked: Vec<(u64, &DomainName)> = domains
+        .into_iter()
+        .map(|n| (xxh3_64_with_seed(n.as_str().as_bytes(), READER_SEED), n))
+        .collect();
+    ranked.sort_unstable();
+    let first = ranked.into_iter().take(WATCH_DOMAINS);
+    first.map(|(_, name)| name).collect()
+}
+
 /// Returns the time to wait after `failures` failed calls in a row, none after a success.
 ///
 /// The wait is drawn between half of its bound and the bound.
@@ -91,19 +115,23 @@
 
 /// Works out the platform calls of a fleet.
 ///
-/// A change ends one watch of each reader, which then starts the next. After an outage each watch is
-/// tried again within [`BACKOFF_MAX`], at the earliest after half of it.
+/// A change ends one watch of each watching reader, which then starts the next. While the platform
+/// is away no reader is known to watch, so that every reader does. Each watch is tried again within
+/// [`BACKOFF_MAX`], at the earliest after half of it.
 pub fn call_rates(size: u64, domains: u64, config_per_day: f64, list_per_day: f64) -> CallRates {
     const DAY_SECONDS: f64 = 86_400.0;
     let readers = (domains * READERS_PER_DOMAIN as u64) as f64;
     let watches = readers * WATCHES_PER_READER as f64;
-    let rest = watches / WATCH_WAIT.as_secs_f64();
+    let watching = (domains.min(WATCH_DOMAINS as u64)) as f64;
+    let polling = readers - watching;
+    let rest = WATCHES_PER_READER as f64
+        * (watching / WATCH_WAIT.as_secs_f64() + polling / POLL_PERIOD.as_secs_f64());
     let changes = (config_per_day + list_per_day) / DAY_SECONDS;
     let half = BACKOFF_MAX.as_secs_f64() / 2.0;
     let spread = start_spread(size).as_secs_f64();
     CallRates {
         rest,
-        changing: rest + changes * readers,
+        changing: rest + changes * watching,
         away: watches / (half * 1.5),
         away_first: watches * 2.0,
         back: watches / half,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dragonflylead::coordination::document::Revision;
+use dragonflylead::coordination::reader::WATCHER_SILENCE;
 
 use virtual_fleet::Platform;
 use virtual_fleet::VirtualFleet;
@@ -154,6 +155,22 @@
     assert!(fleet.run(IN_FORCE, |f| f.all_act_on(3)));
 }
 
+/// The readers that watch for others are lost together: the rest notice and watch themselves.
+fn watching_readers_die(fleet: &mut VirtualFleet) {
+    let watches = |f: &VirtualFleet, at: &usize| {
+        let control = f.members[*at].control.as_ref();
+        control.is_some_and(|c| c.status().watching)
+    };
+    fleet.run_for(MINUTE);
+    let dead: Vec<usize> = (0..DOMAINS * EACH)
+        .filter(|at| watches(fleet, at))
+        .collect();
+    assert_eq!(dead.len(), DOMAINS, "one reader of each domain watches");
+    dead.iter().for_each(|at| fleet.stop(*at));
+    fleet.publish(3, policy(300));
+    assert!(fleet.run(IN_FORCE + WATCHER_SILENCE, |f| f.all_act_on(3)));
+}
+
 #[test]
 fn no_member_acts_on_an_older_revision() {
     struct Case {
@@ -175,6 +192,7 @@
         invalid_in_the_middle,
         list_disappears,
         members_die_during_a_change,
+        watching_readers_die,
     ];
     for case in cases {
         for seed in 1..=3 {
