--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -40,6 +40,14 @@
 }
 
 impl<'r> RequestBody<'r> {
+    /// Returns the body if it can be sent again.
+    pub fn again(&self) -> Option<Bytes> {
+        match self {
+            RequestBody::Held(bytes) => Some(bytes.clone()),
+            RequestBody::Streamed { .. } => None,
+        }
+    }
+
     /// Reads a body, holding up to `hold` bytes; one of more than `max` bytes is refused.
     pub async fn read(
         data: Data<'r>,
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -27,8 +27,11 @@
 use crate::error::UnknownKind;
 use crate::instance::InstanceName;
 use crate::instance::ServiceName;
+use crate::metrics::CallEnd;
+use crate::metrics::Side;
 use crate::node::Node;
 use crate::protocol::header;
+use crate::state::calls::SubCall;
 use crate::transport::body::AnswerBody;
 use crate::transport::body::RequestBody;
 use crate::transport::forward;
@@ -88,6 +91,7 @@
     let head = Head::read(req, node.settings.limits.max_header_bytes as usize).map_err(refusal)?;
     let (service, target) =
         split_service(&head.target).ok_or(refusal(NotRunKind::NoSuchService))?;
+    node.meet(&service).await;
     let policy = node.policy();
     let path = target.split('?').next().unwrap_or_default();
     let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
@@ -110,7 +114,15 @@
         cross_region: treatment.cross_region,
         not_to: None,
     };
+    let began = node.clock.now();
     let (outcome, used) = send_call(node, &out).await;
+    node.count(&CallEnd {
+        side: Side::Egress,
+        service: &service,
+        priority: child.context.priority,
+        error: outcome.error(),
+        took: node.clock.now().since(began),
+    });
     node.gate
         .give_back(&child, child.context.spare.saturating_sub(used));
     let connection = Connection {
@@ -148,17 +160,16 @@
         let mut context = treatment.root(node.new_request_id(), None, true);
         context.priority = Priority::Background;
         return Ok(Child {
-            parent: None,
+            lease: None,
             context,
         });
     };
-    let id = u128::from_str_radix(text, 16).map_err(|_| NotRunKind::ContextUnknown)?;
-    node.gate.lease(
-        id,
-        treatment.idempotent,
-        treatment.timeout,
-        node.clock.now(),
-    )
+    let sub_call = SubCall {
+        idempotent: treatment.idempotent,
+        timeout: treatment.timeout,
+        want: treatment.spare,
+    };
+    node.gate.lease(text.parse()?, &sub_call, node.clock.now())
 }
 
 /// Sends a call, with as many attempts as its context allows.
@@ -188,6 +199,7 @@
                     Some(earlier) => earlier.after(ended.outcome),
                 };
                 if matches!(outcome, Outcome::Completed(_)) {
+                    node.dispatcher.abandon(&mut plan, node.clock.now());
                     return (outcome, plan.used());
                 }
                 so_far = Some(outcome);
@@ -251,7 +263,7 @@
 
 async fn send_attempt(node: &Arc<Node>, out: &Outgoing<'_>, attempt: Attempt) -> Ended {
     let sent = node.clock.now();
-    let url = format!("http://{}{}", attempt.to.ingress, out.target);
+    let url = format!("http://{}{}", attempt.to().ingress, out.target);
     let req = node
         .client
         .request(out.method.clone(), url)
--- a/tests/joins.rs
+++ b/tests/joins.rs
@@ -2,7 +2,7 @@
 
 use dragonflylead::Fingerprint;
 use dragonflylead::RequestId;
-use dragonflylead::coordination::join::CallNumber;
+use dragonflylead::coordination::admission::Ticket;
 use dragonflylead::coordination::join::Join;
 use dragonflylead::coordination::join::Joins;
 use dragonflylead::coordination::join::Leave;
@@ -10,9 +10,9 @@
 use dragonflylead::coordination::join::MAX_SHARING;
 use dragonflylead::coordination::join::RunKey;
 
-const FIRST: CallNumber = CallNumber(1);
-const SECOND: CallNumber = CallNumber(2);
-const THIRD: CallNumber = CallNumber(3);
+const FIRST: Ticket = Ticket(1);
+const SECOND: Ticket = Ticket(2);
+const THIRD: Ticket = Ticket(3);
 
 fn key(request: u128, body: u8) -> RunKey {
     RunKey {
@@ -56,8 +56,8 @@
 fn a_run_goes_on_while_someone_waits() {
     struct Case {
         name: &'static str,
-        leave: &'static [(CallNumber, Leave)],
-        finished: &'static [CallNumber],
+        leave: &'static [(Ticket, Leave)],
+        finished: &'static [Ticket],
     }
     let cases = [
         Case {
@@ -105,10 +105,10 @@
 fn joins_are_bounded() {
     let mut joins = Joins::new();
     let all: Vec<Join> = (0..=MAX_SHARING as u64)
-        .map(|n| joins.join(key(0, 1), CallNumber(n)))
+        .map(|n| joins.join(key(0, 1), Ticket(n)))
         .collect();
     assert_eq!(all[0], Join::Lead);
-    assert_eq!(all[MAX_SHARING - 1], Join::Follow(CallNumber(0)));
+    assert_eq!(all[MAX_SHARING - 1], Join::Follow(Ticket(0)));
     assert_eq!(all[MAX_SHARING], Join::Alone);
     for n in 1..MAX_RUNS as u128 {
         assert_eq!(joins.join(key(n, 1), FIRST), Join::Lead);
