--- a/src/coordination/score.rs
+++ b/src/coordination/score.rs
@@ -8,7 +8,7 @@
 const WEIGHT: f64 = 0.2;
 
 /// Span in which a reported load halves.
-const LOAD_HALF_LIFE: Duration = Duration::from_secs(1);
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
 
 /// Span in which the share of failures halves when no call is sent.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(10);
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics and status of one node, and the operator port that serves them.
 
+#[path = "support/page.rs"]
+mod page;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,8 +40,6 @@
 use dragonflylead::status::Status;
 use dragonflylead::transport::operator::OperatorPort;
 
-const DOCS_PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/METRICS.md");
-
 fn status() -> Status {
     let level = LevelStatus {
         priority: Priority::Normal,
@@ -122,16 +123,7 @@
 
 #[test]
 fn page_lists_all_metrics() {
-    let page = metrics::page();
-    if std::env::var("INSTA_UPDATE").is_ok_and(|v| v == "always") {
-        std::fs::write(DOCS_PAGE, &page).unwrap();
-    }
-    insta::assert_snapshot!(page);
-    let written = std::fs::read_to_string(DOCS_PAGE).unwrap();
-    assert!(
-        written == page,
-        "docs/METRICS.md is out of date; run INSTA_UPDATE=always cargo test --test metrics"
-    );
+    page::assert_page("METRICS.md", &metrics::page());
 }
 
 #[test]
--- /dev/null
+++ b/tests/weighed_routing.rs
@@ -0,0 +1,361 @@
+//! Figures for docs/design/routing.md: strategies, subset sizes and ejection shares.
+//! Run with `cargo test --test weighed_routing`.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use dragonflylead::Priority;
+use dragonflylead::Time;
+use dragonflylead::coordination::routing::Choice;
+use dragonflylead::coordination::routing::Home;
+use dragonflylead::coordination::routing::Pick;
+use dragonflylead::coordination::routing::Place;
+use dragonflylead::coordination::routing::Router;
+use dragonflylead::coordination::routing::RoutingConfig;
+use dragonflylead::coordination::routing::Strategy;
+use dragonflylead::coordination::routing::Want;
+use dragonflylead::coordination::score::ScoreConfig;
+use dragonflylead::coordination::subset::SubsetConfig;
+use dragonflylead::coordination::target::Observation;
+use dragonflylead::coordination::target::Verdict;
+use dragonflylead::instance::Instance;
+use dragonflylead::instance::InstanceName;
+use dragonflylead::instance::InstanceState;
+use dragonflylead::instance::ServiceName;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const TARGETS: usize = 16;
+const SLOTS: usize = 8;
+const SERVICE_US: f64 = 10_000.0;
+const CALLS: u64 = 15_000;
+
+fn instance(i: usize, domain: usize, region: usize) -> Instance {
+    Instance {
+        name: InstanceName::new(&format!("payments-{i}")),
+        service: "payments".into(),
+        domain: format!("d{domain}").as_str().into(),
+        region: format!("r{region}").as_str().into(),
+        ingress: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        state: InstanceState::Live,
+    }
+}
+
+fn router(sender: usize, cfg: &RoutingConfig, instances: &[Instance]) -> Router {
+    let home = Home {
+        instance: InstanceName::new(&format!("sender-{sender}")),
+        domain: "d0".into(),
+        region: "r0".into(),
+    };
+    let mut router = Router::new(home, cfg.clone(), Time::ZERO);
+    router.sync(instances, Time::ZERO);
+    router
+}
+
+/// One target: calls that run, and a short queue in order of arrival.
+#[derive(Default)]
+struct Server {
+    free_at: BinaryHeap<Reverse<u64>>,
+    ends: BinaryHeap<Reverse<u64>>,
+}
+
+impl Server {
+    /// Takes a call that arrives at `now` and needs `work`; returns when it ends, unless the queue
+    /// is full.
+    fn take(&mut self, now: u64, work: u64) -> Option<u64> {
+        if self.load(now) >= 2.0 {
+            return None;
+        }
+        let slot = match self.free_at.len() < SLOTS {
+            true => now,
+            false => self.free_at.pop().map_or(now, |Reverse(free)| free),
+        };
+        let end = slot.max(now) + work;
+        self.free_at.push(Reverse(end));
+        self.ends.push(Reverse(end));
+        Some(end)
+    }
+
+    /// Returns the calls that run or wait, as a multiple of the slots.
+    fn load(&mut self, now: u64) -> f64 {
+        while self.ends.peek().is_some_and(|Reverse(end)| *end <= now) {
+            self.ends.pop();
+        }
+        self.ends.len() as f64 / SLOTS as f64
+    }
+}
+
+/// Many senders that call targets of which one is slow.
+struct Fleet {
+    routers: Vec<Router>,
+    servers: BTreeMap<InstanceName, Server>,
+    slow: f64,
+    /// Answers to come: when, number of the call, its sender.
+    answers: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    sent: BTreeMap<u64, (u64, Pick)>,
+    took: Vec<u64>,
+    refused: u64,
+    dropped: u64,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn new(cfg: &RoutingConfig, senders: usize, slow: f64) -> Fleet {
+        let instances: Vec<Instance> = (0..TARGETS).map(|i| instance(i, 0, 0)).collect();
+        Fleet {
+            routers: (0..senders).map(|s| router(s, cfg, &instances)).collect(),
+            servers: BTreeMap::new(),
+            slow,
+            answers: BinaryHeap::new(),
+            sent: BTreeMap::new(),
+            took: Vec::new(),
+            refused: 0,
+            dropped: 0,
+            rng: ChaCha8Rng::seed_from_u64(11),
+        }
+    }
+
+    fn answer_until(&mut self, now: u64) {
+        while let Some(Reverse((end, id, sender))) = self.answers.peek().copied() {
+            if end > now {
+                return;
+            }
+            self.answers.pop();
+            let (sent, pick) = self.sent.remove(&id).unwrap();
+            self.told(sender, &pick, Verdict::Worked, end - sent, end);
+            self.took.push(end - sent);
+        }
+    }
+
+    fn told(&mut self, sender: usize, pick: &Pick, verdict: Verdict, took: u64, now: u64) {
+        let load = self.servers.get_mut(&pick.to.name).unwrap().load(now);
+        let seen = Observation {
+            load: Some(load),
+            ..Observation::of(verdict, Duration::from_micros(took))
+        };
+        self.routers[sender].answered(pick, &seen, Time::from_micros(now));
+    }
+
+    /// Makes a call of at most three attempts.
+    fn call(&mut self, id: u64, now: u64) {
+        let sender = self.rng.random_range(0..self.routers.len());
+        let mut tried = Vec::new();
+        while tried.len() < 3 {
+            let time = Time::from_micros(now);
+            let router = &mut self.routers[sender];
+            let pick = choose(router, &tried, time, &mut self.rng).unwrap();
+            router.sent(&pick, time);
+            let is_slow = pick.to.name.as_str() == "payments-0";
+            let factor = if is_slow { self.slow } else { 1.0 };
+            let work = -(1.0 - self.rng.random::<f64>()).ln() * SERVICE_US * factor;
+            let server = self.servers.entry(pick.to.name.clone()).or_default();
+            if let Some(end) = server.take(now, work as u64) {
+                self.answers.push(Reverse((end, id, sender)));
+                self.sent.insert(id, (now, pick));
+                return;
+            }
+            self.refused += 1;
+            self.told(sender, &pick, Verdict::Refused, 0, now);
+            tried.push(pick.to.name);
+        }
+        self.dropped += 1;
+    }
+
+    /// Offers a share of what the targets can do, and returns one row of figures.
+    fn run(mut self, load: f64) -> String {
+        let capacity = SLOTS as f64 * (TARGETS as f64 - 1.0 + 1.0 / self.slow) / SERVICE_US;
+        let mut now = 0.0;
+        for id in 0..CALLS {
+            now += -(1.0 - self.rng.random::<f64>()).ln() / (capacity * load);
+            self.answer_until(now as u64);
+            self.call(id, now as u64);
+        }
+        self.took.sort_unstable();
+        let [p50, p99] =
+            [0.5, 0.99].map(|q| self.took[(self.took.len() as f64 * q) as usize] as f64 / 1_000.0);
+        let [refused, dropped] =
+            [self.refused, self.dropped].map(|n| n as f64 * 100.0 / CALLS as f64);
+        format!("{p50:.1} | {p99:.1} | {refused:.2}% | {dropped:.2}%")
+    }
+}
+
+fn choose(
+    router: &mut Router,
+    tried: &[InstanceName],
+    now: Time,
+    rng: &mut ChaCha8Rng,
+) -> Option<Pick> {
+    let want = Want {
+        service: &ServiceName::new("payments"),
+        priority: Priority::Normal,
+        idempotent: true,
+        cross_region: true,
+        tried,
+        fresh_only: false,
+    };
+    match router.choose(&want, now, rng) {
+        Choice::Send(pick) => Some(pick),
+        Choice::None(_) => None,
+    }
+}
+
+struct Way {
+    name: &'static str,
+    strategy: Strategy,
+    score: ScoreConfig,
+}
+
+fn ways() -> Vec<Way> {
+    let none = ScoreConfig {
+        in_flight: false,
+        load: false,
+        latency: false,
+        failures: false,
+        hint: false,
+    };
+    let way = |name, strategy, score| Way {
+        name,
+        strategy,
+        score,
+    };
+    let in_flight = ScoreConfig {
+        in_flight: true,
+        ..none
+    };
+    let load = ScoreConfig {
+        load: true,
+        ..in_flight
+    };
+    let latency = ScoreConfig {
+        latency: true,
+        ..in_flight
+    };
+    vec![
+        way("random", Strategy::Random, none),
+        way("round robin", Strategy::RoundRobin, none),
+        way("two choices, in flight", Strategy::TwoChoices, in_flight),
+        way(
+            "two choices, in flight and load",
+            Strategy::TwoChoices,
+            load,
+        ),
+        way(
+            "two choices, in flight and latency",
+            Strategy::TwoChoices,
+            latency,
+        ),
+        way(
+            "two choices, all",
+            Strategy::TwoChoices,
+            ScoreConfig::default(),
+        ),
+    ]
+}
+
+#[test]
+fn strategies() {
+    let mut table = String::new();
+    for (senders, load, slow) in [
+        (20, 0.9, 1.0),
+        (400, 0.9, 1.0),
+        (20, 0.8, 5.0),
+        (400, 0.8, 5.0),
+    ] {
+        for way in ways() {
+            let cfg = RoutingConfig {
+                strategy: way.strategy,
+                score: way.score,
+                subset: SubsetConfig::ALL,
+                ..RoutingConfig::default()
+            };
+            let figures = Fleet::new(&cfg, senders, slow).run(load);
+            let name = way.name;
+            let _ = writeln!(
+                table,
+                "| {senders} | {load} | {slow} x | {name} | {figures} |"
+            );
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn subsets() {
+    let mut table = String::new();
+    for size in [4, 8, 12, 18, 100] {
+        for (targets, senders) in [(15, 300), (15, 3_000), (100, 7_000)] {
+            let subset = SubsetConfig {
+                domain: size,
+                ..SubsetConfig::default()
+            };
+            let instances: Vec<Instance> = (0..targets).map(|i| instance(i, 0, 0)).collect();
+            let placed: Vec<(Place, &Instance)> =
+                instances.iter().map(|i| (Place::Domain, i)).collect();
+            let mut senders_of: BTreeMap<&InstanceName, usize> = BTreeMap::new();
+            for sender in 0..senders {
+                let own = InstanceName::new(&format!("sender-{sender}"));
+                for (_, member) in subset.select(&own, &placed) {
+                    *senders_of.entry(&member.name).or_default() += 1;
+                }
+            }
+            let most = senders_of.values().max().unwrap();
+            let least = senders_of.values().min().unwrap();
+            let mean = senders_of.values().sum::<usize>() / targets;
+            let _ = writeln!(
+                table,
+                "| {size} | {targets} | {senders} | {least} | {mean} | {most} |"
+            );
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Share of calls that succeed over 60 s at one sender of ten targets.
+fn succeeding(max_share: f64, failing: usize, failure: f64) -> f64 {
+    let mut cfg = RoutingConfig {
+        subset: SubsetConfig::ALL,
+        ..RoutingConfig::default()
+    };
+    cfg.ejection.max_share = max_share;
+    let instances: Vec<Instance> = (0..10).map(|i| instance(i, 0, 0)).collect();
+    let mut router = router(0, &cfg, &instances);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let bad: Vec<InstanceName> = instances[..failing]
+        .iter()
+        .map(|i| i.name.clone())
+        .collect();
+    let mut good = 0;
+    for n in 0..3_000 {
+        let now = Time::from_millis(n * 20);
+        let pick = choose(&mut router, &[], now, &mut rng).unwrap();
+        router.sent(&pick, now);
+        let fails = bad.contains(&pick.to.name) && rng.random_bool(failure);
+        let verdict = match fails {
+            true => Verdict::Failed,
+            false => Verdict::Worked,
+        };
+        good += u32::from(!fails);
+        let seen = Observation::of(verdict, Duration::from_millis(10));
+        router.answered(&pick, &seen, now);
+    }
+    f64::from(good) / 3_000.0
+}
+
+#[test]
+fn ejection_shares() {
+    let mut table = String::new();
+    for max_share in [0.0, 0.1, 0.3, 0.5, 1.0] {
+        let cases = [(1, 1.0), (5, 1.0), (5, 0.5), (10, 0.3)];
+        let shares = cases.map(|(failing, failure)| {
+            let share = succeeding(max_share, failing, failure);
+            format!("{:.1}%", share * 100.0)
+        });
+        let _ = writeln!(table, "| {max_share:.1} | {} |", shares.join(" | "));
+    }
+    insta::assert_snapshot!(table);
+}
