Count retries, denied attempts, ejections and link bytes; a changed link budget stays spent

Cause: a node's share of a link changes with each instance that comes or goes, and each change filled the budget again.

--- a/src/coordination/link.rs
+++ b/src/coordination/link.rs
@@ -76,6 +76,15 @@
         (self.level + gained).min(self.top)
     }
 
+    /// Returns this full bucket with the share missing that is missing in `other`.
+    fn emptied_like(mut self, other: &Bucket, now: Time) -> Bucket {
+        if other.top > 0.0 {
+            let level = self.top * other.level_at(now) / other.top;
+            self.level = level.max(self.bottom);
+        }
+        self
+    }
+
     /// Returns what is to be taken for `estimate` bytes, at most a full bucket, if it is there.
     fn offer(&self, estimate: f64, now: Time) -> Option<f64> {
         let bytes = estimate.min(self.top);
@@ -121,6 +130,14 @@
         }
     }
 
+    /// Takes over other settings. What was spent stays spent.
+    pub fn reconfigure(&mut self, cfg: &LinkConfig, now: Time) {
+        let full = LinkBudget::new(cfg, now);
+        self.enabled = full.enabled;
+        self.common = full.common.emptied_like(&self.common, now);
+        self.reserved = full.reserved.emptied_like(&self.reserved, now);
+    }
+
     /// Returns what a call would be charged, or `None` if the budget does not allow it.
     pub fn quote(&self, critical: bool, now: Time) -> Option<Charge> {
         if critical && let Some(bytes) = self.reserved.offer(self.estimate, now) {
--- a/src/coordination/links.rs
+++ b/src/coordination/links.rs
@@ -55,11 +55,16 @@
         }
     }
 
-    /// Sets the budget of the link to `region`; an unchanged one keeps its level.
+    /// Sets the budget of the link to `region`; what was spent stays spent.
     pub fn set(&mut self, region: &RegionName, cfg: LinkConfig, now: Time) {
-        let known = self.links.get(region);
-        let unchanged = known.is_some_and(|link| link.cfg == cfg);
-        if unchanged || (known.is_none() && self.links.len() >= MAX_REGIONS) {
+        if let Some(link) = self.links.get_mut(region) {
+            if link.cfg != cfg {
+                link.cfg = cfg;
+                link.budget.reconfigure(&cfg, now);
+            }
+            return;
+        }
+        if self.links.len() >= MAX_REGIONS {
             return;
         }
         let budget = LinkBudget::new(&cfg, now);
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -295,7 +295,7 @@
         &self.links
     }
 
-    /// Sets the byte budget of the link to `region`; an unchanged one keeps its level.
+    /// Sets the byte budget of the link to `region`; what was spent stays spent.
     pub fn set_link(&mut self, region: &RegionName, cfg: LinkConfig, now: Time) {
         self.links.set(region, cfg, now);
     }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -169,11 +169,6 @@
             .inc_by(bytes);
     }
 
-    /// Counts an ejection.
-    pub fn ejected(&self) {
-        self.ejections.with_label_values::<&str>(&[]).inc();
-    }
-
     /// Returns the Prometheus text, with gauges as in `status`.
     pub fn text(&self, status: &Status) -> String {
         self.show(status);
@@ -204,6 +199,9 @@
         self.set(Metric::Ready, &[], status.ready.into());
         self.set(Metric::Pauses, &[], status.pauses as i64);
         self.set(Metric::Uptime, &[], status.uptime_s as i64);
+        self.ejections.reset();
+        let ejections = self.ejections.with_label_values::<&str>(&[]);
+        ejections.inc_by(status.ejections);
         self.show_services(&status.services);
         for link in &status.links {
             let region = link.region.as_str();
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -57,6 +57,8 @@
     pub poison: PoisonStatus,
     /// Idempotency tokens that are held.
     pub tokens: u64,
+    /// Ejections of instances since the start.
+    pub ejections: u64,
     /// Process pauses since the start.
     pub pauses: u64,
     /// Objectives of the services that were called through this node.
--- a/src/status/own.rs
+++ b/src/status/own.rs
@@ -36,6 +36,7 @@
             quarantined: counts.quarantined as u64,
         },
         tokens: counts.tokens as u64,
+        ejections: node.dispatcher.view(|router, _| router.ejections()),
         pauses: node.pauses(),
         objectives: records::objectives(&node.policy(), &history),
         history,
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -187,7 +187,12 @@
     let mut so_far: Option<Outcome<Answer>> = None;
     loop {
         match node.next_step(&mut plan) {
-            Step::Send(attempt) => open.push(send_attempt(node, out, *attempt)),
+            Step::Send(attempt) => {
+                if let Some(reason) = attempt.reason {
+                    node.records.metrics.retried(out.service, reason);
+                }
+                open.push(send_attempt(node, out, *attempt));
+            }
             Step::Wait(until) => {
                 let wait = until.map(|until| until.since(node.clock.now()));
                 let Some(ended) = next_within(&mut open, wait).await else {
@@ -205,6 +210,9 @@
                 so_far = Some(outcome);
             }
             Step::Fail(kind) => {
+                if let Some(reason) = plan.denied() {
+                    node.records.metrics.denied(out.service, reason);
+                }
                 let failed = Outcome::from_kind(kind);
                 let outcome = match so_far {
                     None => failed,
@@ -243,6 +251,10 @@
         Outcome::NotRun(kind) => (Err(ErrorKind::NotRun(*kind)), 0),
         Outcome::Unknown(kind) => (Err(ErrorKind::Unknown(*kind)), 0),
     };
+    if ended.attempt.pick.toll.is_some() {
+        let region = &ended.attempt.to().region;
+        node.records.metrics.link(region, bytes);
+    }
     let now = node.clock.now();
     let report = Report {
         result,
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -85,6 +85,7 @@
             quarantined: 1,
         },
         tokens: 9,
+        ejections: 1,
         pauses: 1,
         objectives: Vec::new(),
         history: Vec::new(),
@@ -112,7 +113,6 @@
     metrics.denied(&service, DeniedReason::Budget);
     metrics.control(Direction::Sent, 100);
     metrics.link(&"sindh".into(), 4_096);
-    metrics.ejected();
     metrics
 }
 
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -92,6 +92,7 @@
         links: Vec::new(),
         poison: PoisonStatus::default(),
         tokens: 9,
+        ejections: 0,
         pauses: 0,
         objectives: vec![
             objective(Priority::Critical, 0.999),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -529,5 +529,12 @@
     link.charge(&large, later);
     assert_eq!(link.reserved_left(later), 0.0);
     assert_eq!(link.left(later), 70_000.0);
+    let halved = LinkConfig {
+        bytes_per_s: 5_000.0,
+        ..cfg
+    };
+    link.reconfigure(&halved, later);
+    assert_eq!(link.left(later), 35_000.0);
+    assert_eq!(link.reserved_left(later), 0.0, "what was spent stays spent");
     assert_eq!(node_share(3_750_000.0, 4, 1_000), 937.5);
 }
