--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,7 @@
 use clap::Subcommand;
 
 use crate::coordination::treatment::Treatment;
+use crate::demo;
 use crate::operate::ReportArgs;
 use crate::operate::StatusArgs;
 use crate::operate::run_report;
@@ -53,6 +54,8 @@
         /// Policy file to compare with it
         new: PathBuf,
     },
+    /// Show a surge and the recovery from it, on loopback in this process
+    Demo,
     /// Show the state of live nodes at a glance
     Status(StatusArgs),
     /// Show how fast error budgets are spent, and whether somebody has to act
@@ -99,9 +102,19 @@
         Command::Diff { old, new } => run_diff(old, new, out, err),
         Command::Status(args) => run_status(args, out),
         Command::Report(args) => run_report(args, out),
+        Command::Demo => run_demo(out),
     }
 }
 
+fn run_demo<O>(out: &mut O) -> io::Result<Exit>
+where
+    O: Write,
+{
+    let runtime = tokio::runtime::Runtime::new()?;
+    let held = runtime.block_on(demo::run(out))?;
+    Ok(Exit::good_if(held))
+}
+
 fn run_check<O, E>(file: &Path, out: &mut O, err: &mut E) -> io::Result<Exit>
 where
     O: Write,
