--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -12,6 +12,9 @@
 /// Attempts remembered for each sender at most.
 pub const MAX_ATTEMPTS: usize = 512;
 
+/// Attempts remembered of all senders together at most.
+pub const MAX_SEEN: usize = 65_536;
+
 /// Names one attempt of one incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptId {
@@ -42,6 +45,14 @@
         }
         first
     }
+
+    /// Forgets the single attempts: all up to the highest count as seen. Returns how many.
+    fn condense(&mut self) -> usize {
+        let forgotten = self.seen.len();
+        self.floor = self.seen.pop_last().or(self.floor);
+        self.seen.clear();
+        forgotten
+    }
 }
 
 /// Attempts that were seen.
@@ -49,6 +60,7 @@
 pub struct SeenAttempts {
     senders: BTreeMap<(InstanceName, Incarnation), Sender>,
     uses: u64,
+    seen: usize,
 }
 
 impl SeenAttempts {
@@ -68,7 +80,23 @@
         self.uses += 1;
         let sender = self.senders.entry(key).or_default();
         sender.used = self.uses;
-        sender.note(attempt.number)
+        let before = sender.seen.len();
+        let first = sender.note(attempt.number);
+        self.seen += sender.seen.len() - before;
+        if self.seen > MAX_SEEN {
+            self.condense_oldest();
+        }
+        first
+    }
+
+    /// Returns the number of attempts remembered singly.
+    pub fn len(&self) -> usize {
+        self.seen
+    }
+
+    /// Returns whether no attempt is remembered singly.
+    pub fn is_empty(&self) -> bool {
+        self.seen == 0
     }
 
     /// Returns the number of senders remembered.
@@ -78,8 +106,18 @@
 
     fn drop_oldest(&mut self) {
         let oldest = self.senders.iter().min_by_key(|(_, sender)| sender.used);
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-            self.senders.remove(&key);
+        let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+            return;
+        };
+        if let Some(sender) = self.senders.remove(&key) {
+            self.seen -= sender.seen.len();
+        }
+    }
+
+    fn condense_oldest(&mut self) {
+        let holding = self.senders.values_mut().filter(|s| !s.seen.is_empty());
+        if let Some(sender) = holding.min_by_key(|sender| sender.used) {
+            self.seen -= sender.condense();
         }
     }
 }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -1,4 +1,4 @@
-//! Interleavings of workers that race for one token or one lease, explored by shuttle.
+//! Interleavings of workers that race for one token, one lease or one slot, explored by shuttle.
 
 use shuttle::sync::Arc;
 use shuttle::sync::Mutex;
@@ -10,6 +10,11 @@
 use dragonflylead::Priority;
 use dragonflylead::RequestId;
 use dragonflylead::Time;
+use dragonflylead::coordination::admission::Admission;
+use dragonflylead::coordination::admission::Effect;
+use dragonflylead::coordination::admission::Ending;
+use dragonflylead::coordination::admission::Job;
+use dragonflylead::coordination::admission::Ticket;
 use dragonflylead::coordination::token::Spend;
 use dragonflylead::coordination::token::Token;
 use dragonflylead::coordination::token::Tokens;
@@ -172,3 +177,57 @@
         assert_eq!(calls.children_of(RequestId(1)), []);
     });
 }
+
+fn job(ticket: u64) -> Job {
+    Job {
+        ticket: Ticket(ticket),
+        priority: Priority::Normal,
+        cohort: RequestId(u128::from(ticket)).cohort(),
+        idempotent: true,
+        deadline: DEADLINE,
+        exclusive: false,
+    }
+}
+
+/// Offers a call, and ends or withdraws it according to what was decided until then.
+fn work(admission: &Mutex<Admission>, told: &Mutex<Vec<Effect>>, ticket: u64) -> bool {
+    let mut effects = Vec::new();
+    {
+        let mut admission = admission.lock().unwrap();
+        admission.offer(job(ticket), NOW, &mut effects);
+        assert!(admission.load().in_flight <= 1);
+    }
+    told.lock().unwrap().extend(effects);
+    let mut effects = Vec::new();
+    let mut admission = admission.lock().unwrap();
+    let withdrawn = admission.withdraw(Ticket(ticket), NOW, &mut effects);
+    if !withdrawn {
+        admission.finish(Ticket(ticket), Ending::Ok, NOW, &mut effects);
+    }
+    drop(admission);
+    told.lock().unwrap().extend(effects);
+    withdrawn
+}
+
+#[test]
+fn one_slot_is_given_to_one_call_at_a_time() {
+    explore(|| {
+        let admission = Arc::new(Mutex::new(Admission::new(1, NOW)));
+        let told = Arc::new(Mutex::new(Vec::new()));
+        let workers: Vec<_> = (0..4)
+            .map(|ticket| {
+                let (admission, told) = (admission.clone(), told.clone());
+                thread::spawn(move || work(&admission, &told, ticket))
+            })
+            .collect();
+        let withdrawn: Vec<bool> = workers.into_iter().map(|w| w.join().unwrap()).collect();
+        let load = admission.lock().unwrap().load();
+        assert_eq!((load.in_flight, load.queued), (0, 0));
+        let told = told.lock().unwrap();
+        for (ticket, withdrawn) in withdrawn.into_iter().enumerate() {
+            let start = Effect::Start(Ticket(ticket as u64));
+            let starts = told.iter().filter(|effect| **effect == start).count();
+            assert_eq!(starts, usize::from(!withdrawn), "call {ticket}");
+        }
+    });
+}
