--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -27,6 +27,8 @@
 use crate::error::UnknownKind;
 use crate::instance::InstanceName;
 use crate::instance::ServiceName;
+use crate::metrics::CallEnd;
+use crate::metrics::Side;
 use crate::node::Node;
 use crate::protocol::header;
 use crate::state::calls::SubCall;
@@ -89,6 +91,7 @@
     let head = Head::read(req, node.settings.limits.max_header_bytes as usize).map_err(refusal)?;
     let (service, target) =
         split_service(&head.target).ok_or(refusal(NotRunKind::NoSuchService))?;
+    node.meet(&service).await;
     let policy = node.policy();
     let path = target.split('?').next().unwrap_or_default();
     let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
@@ -111,7 +114,15 @@
         cross_region: treatment.cross_region,
         not_to: None,
     };
+    let began = node.clock.now();
     let (outcome, used) = send_call(node, &out).await;
+    node.count(&CallEnd {
+        side: Side::Egress,
+        service: &service,
+        priority: child.context.priority,
+        error: outcome.error(),
+        took: node.clock.now().since(began),
+    });
     node.gate
         .give_back(&child, child.context.spare.saturating_sub(used));
     let connection = Connection {
@@ -176,7 +187,12 @@
     let mut so_far: Option<Outcome<Answer>> = None;
     loop {
         match node.next_step(&mut plan) {
-            Step::Send(attempt) => open.push(send_attempt(node, out, *attempt)),
+            Step::Send(attempt) => {
+                if let Some(reason) = attempt.reason {
+                    node.records.metrics.retried(out.service, reason);
+                }
+                open.push(send_attempt(node, out, *attempt));
+            }
             Step::Wait(until) => {
                 let wait = until.map(|until| until.since(node.clock.now()));
                 let Some(ended) = next_within(&mut open, wait).await else {
@@ -194,6 +210,9 @@
                 so_far = Some(outcome);
             }
             Step::Fail(kind) => {
+                if let Some(reason) = plan.denied() {
+                    node.records.metrics.denied(out.service, reason);
+                }
                 let failed = Outcome::from_kind(kind);
                 let outcome = match so_far {
                     None => failed,
@@ -232,6 +251,10 @@
         Outcome::NotRun(kind) => (Err(ErrorKind::NotRun(*kind)), 0),
         Outcome::Unknown(kind) => (Err(ErrorKind::Unknown(*kind)), 0),
     };
+    if ended.attempt.pick.toll.is_some() {
+        let region = &ended.attempt.to().region;
+        node.records.metrics.link(region, bytes);
+    }
     let now = node.clock.now();
     let report = Report {
         result,
