--- a/src/coordination/control/message.rs
+++ b/src/coordination/control/message.rs
@@ -162,6 +162,8 @@
     Watch(Watch),
     /// Report a rejected revision to the operators.
     Rejected(Rejection),
+    /// Report that a peer remembers a later incarnation of this instance.
+    Superseded(InstanceName),
 }
 
 /// A call to the platform.
--- a/src/coordination/control/spread.rs
+++ b/src/coordination/control/spread.rs
@@ -97,7 +97,8 @@
                     self.take_repair(now, *kind, request, repair, near);
                 }
             }
-            Reply::Pushed | Reply::Superseded => (),
+            Reply::Superseded => actions.push(Action::Superseded(from.name.clone())),
+            Reply::Pushed => (),
         }
         actions
     }
--- a/src/transport/control.rs
+++ b/src/transport/control.rs
@@ -323,6 +323,11 @@
                     let revision = rejection.revision.0;
                     log::warn!("revision {revision} rejected: {}", rejection.reason);
                 }
+                Action::Superseded(by) => {
+                    log::error!(
+                        "{by} knows a later incarnation of this instance; is the clock behind?"
+                    );
+                }
             }
         }
         self.publish();
--- a/tests/support/virtual_fleet.rs
+++ b/tests/support/virtual_fleet.rs
@@ -363,7 +363,7 @@
         match action {
             Action::Send { to, request, tries } => self.send(from, life, to, request, tries),
             Action::Watch(watch) => self.schedule(from, life, watch.delay, Event::Watch(watch)),
-            Action::Rejected(_) => (),
+            Action::Rejected(_) | Action::Superseded(_) => (),
         }
     }
 
