--- a/src/records.rs
+++ b/src/records.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 
 use crate::clock::Time;
+use crate::error::ErrorKind;
+use crate::error::NotRunKind;
+use crate::error::UnknownKind;
 use crate::metrics::CallEnd;
 use crate::metrics::Metrics;
 use crate::metrics::Side;
@@ -38,11 +41,11 @@
 
     /// Counts a call that ended.
     ///
-    /// Single attempts that arrive at a target are not part of the history: their caller may have
-    /// been served by another.
+    /// Single attempts that arrive at a target are not part of the history, since their caller may
+    /// have been served by another; nor are calls that failed by a fault of their own.
     pub fn ended(&self, end: &CallEnd<'_>, policy: &Policy, now: Time) {
         self.metrics.ended(end);
-        if end.side == Side::Ingress {
+        if end.side == Side::Ingress || end.error.is_some_and(is_callers_own) {
             return;
         }
         let rule = policy.slo(end.service.as_str(), end.priority);
@@ -70,3 +73,25 @@
         })
         .collect()
 }
+
+/// Returns whether a call failed by a fault of its own, or for want of a token that it was given.
+fn is_callers_own(error: ErrorKind) -> bool {
+    let ErrorKind::NotRun(kind) = error else {
+        return error == ErrorKind::Unknown(UnknownKind::Cancelled);
+    };
+    matches!(
+        kind,
+        NotRunKind::TokenRequired
+            | NotRunKind::TokenBurned
+            | NotRunKind::RequestMismatch
+            | NotRunKind::ParentEnded
+            | NotRunKind::ContextUnknown
+            | NotRunKind::HopRejected
+            | NotRunKind::TooDeep
+            | NotRunKind::NoSuchService
+            | NotRunKind::BadRequest
+            | NotRunKind::HeadersTooLarge
+            | NotRunKind::BodyTooLarge
+            | NotRunKind::Withdrawn
+    )
+}
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -232,6 +232,7 @@
         side: Side,
         priority: Priority,
         took_ms: u64,
+        error: Option<ErrorKind>,
         want: Option<Counts>,
     }
     let good = Counts {
@@ -240,13 +241,24 @@
         ..Counts::default()
     };
     let late = Counts { good: 0, ..good };
+    let shed = Counts { not_run: 1, ..late };
     let case = |side, priority, took_ms, want| Case {
         side,
         priority,
         took_ms,
+        error: None,
+        want,
+    };
+    let failed = |error: NotRunKind, want| Case {
+        side: Side::Entry,
+        priority: Priority::Critical,
+        took_ms: 1,
+        error: Some(error.into()),
         want,
     };
     let cases = [
+        failed(NotRunKind::Shed, Some(shed)),
+        failed(NotRunKind::TokenRequired, None),
         case(Side::Egress, Priority::Critical, 800, Some(good)),
         case(Side::Entry, Priority::Critical, 801, Some(late)),
         case(Side::Entry, Priority::Low, 5_000, Some(good)),
@@ -267,7 +279,7 @@
             side: case.side,
             service: &"payments".into(),
             priority: case.priority,
-            error: None,
+            error: case.error,
             took: Duration::from_millis(case.took_ms),
         };
         records.ended(&end, &policy, Time::ZERO);
