--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,8 @@
 use clap::Subcommand;
 
 use crate::coordination::treatment::Treatment;
+use crate::measure::MeasureArgs;
+use crate::measure::run_measure;
 use crate::operate::ReportArgs;
 use crate::operate::StatusArgs;
 use crate::operate::run_report;
@@ -57,6 +59,8 @@
     Status(StatusArgs),
     /// Show how fast error budgets are spent, and whether somebody has to act
     Report(ReportArgs),
+    /// Measure overload policies side by side, with real nodes on loopback
+    Measure(MeasureArgs),
 }
 
 /// How a command ended.
@@ -99,6 +103,7 @@
         Command::Diff { old, new } => run_diff(old, new, out, err),
         Command::Status(args) => run_status(args, out),
         Command::Report(args) => run_report(args, out),
+        Command::Measure(args) => run_measure(args, out).map(|()| Exit::Good),
     }
 }
 
--- a/src/measure.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Side-by-side measurement of overload policies.
