--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! Messages and headers that travel between processes, and the table from error kind to answer.
 
+pub mod advice;
 pub mod answer;
 pub mod header;
 pub mod hop;
--- /dev/null
+++ b/tests/errors.rs
@@ -0,0 +1,14 @@
+//! The page of error kinds is that of the code.
+
+#[path = "support/page.rs"]
+mod page;
+
+use dragonflylead::protocol::advice;
+
+#[test]
+fn page_lists_all_kinds() {
+    let text = advice::page();
+    assert_eq!(text.matches("| not-run |").count(), 23);
+    assert_eq!(text.matches("| unknown |").count(), 10);
+    page::assert_page("operators/errors.md", &text);
+}
