--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,10 @@
 
 use bytes::Bytes;
 use dragonflylead::caller::CallRequest;
+use dragonflylead::running::RunningNode;
+use dragonflylead::running::StartOptions;
+use dragonflylead::settings::Ports;
+use dragonflylead::settings::Settings;
 use dragonflylead::standin::fleet::FleetSpec;
 use dragonflylead::standin::fleet::Place;
 use dragonflylead::standin::fleet::ServiceSpec;
@@ -65,3 +69,17 @@
         timeout: Duration::from_secs(10),
     }
 }
+
+/// Starts another node with the settings of one that runs, on ports of its own.
+pub(crate) async fn restart(mut settings: Settings, seed: u64) -> RunningNode {
+    let any = ([127, 0, 0, 1], 0).into();
+    settings.ports = Ports {
+        ingress: any,
+        egress: any,
+        peer: any,
+        operator: any,
+    };
+    RunningNode::start(settings, StartOptions::new(seed))
+        .await
+        .unwrap()
+}
