Stop what nobody waits for at every hop, and check old views after a pause

An attempt that lost its race, passed its deadline or belongs to an ended call is withdrawn at the other node by its number; by request id, it would have stopped other sub-calls of the same request too. The sub-calls of a call end with it. A running charge goes on. After a process pause a peer is asked before it gets new work, and each peer used before is asked at once. tests/cancel.rs: the lookup's node is idle before its target has answered, the charge's after.

--- a/src/coordination/arrival.rs
+++ b/src/coordination/arrival.rs
@@ -86,6 +86,8 @@
 pub struct Finished {
     /// Spare attempts that the call and its sub-calls used.
     pub spent: u32,
+    /// Sub-calls still in progress, to be cancelled.
+    pub open: Vec<LeaseId>,
     /// Calls that are told the same outcome, and are then finished in turn.
     pub sharing: Vec<Ticket>,
 }
--- a/src/coordination/gate/arrive.rs
+++ b/src/coordination/gate/arrive.rs
@@ -245,6 +245,10 @@
         token,
         key,
         fingerprint: arrival.fingerprint,
+        attempt: match &arrival.source {
+            Source::Node(attempt) => Some(attempt.clone()),
+            Source::Caller { .. } => None,
+        },
         exclusive: false,
         crashed: false,
         shared: None,
--- a/src/coordination/gate/mod.rs
+++ b/src/coordination/gate/mod.rs
@@ -14,6 +14,7 @@
 use crate::coordination::admission::Effect;
 use crate::coordination::admission::Load;
 use crate::coordination::admission::Ticket;
+use crate::coordination::attempts::AttemptId;
 use crate::coordination::gate::ending::ending;
 use crate::coordination::gate::ending::is_own_end;
 use crate::coordination::gate::ending::lost;
@@ -38,6 +39,7 @@
 use crate::state::Rank;
 use crate::state::Table;
 use crate::state::calls::ContextId;
+use crate::state::calls::Ended;
 use crate::state::calls::SubCall;
 use crate::timer::Tick;
 
@@ -131,9 +133,9 @@
         let Some(call) = held.by_ticket.remove(&ticket) else {
             return Finished::default();
         };
-        let spent = match call.stage {
-            Stage::Running(id) => held.calls.end(now, id).map_or(0, |ended| ended.spent),
-            _ => 0,
+        let ended = match call.stage {
+            Stage::Running(id) => held.calls.end(now, id).unwrap_or_default(),
+            _ => Ended::default(),
         };
         let mut sharing = held.followers(ticket, &call);
         if let Some(token) = &call.token {
@@ -151,7 +153,11 @@
                 admission.offer(job, now, effects);
             }
         }
-        Finished { spent, sharing }
+        Finished {
+            spent: ended.spent,
+            open: ended.open,
+            sharing,
+        }
     }
 
     /// Returns what the caller of a call is told that is dropped, or given up by its handler.
@@ -172,24 +178,23 @@
     /// non-idempotent call goes on, as its answer is kept for its token.
     pub fn cancel(&self, request: RequestId, now: Time, effects: &mut Vec<Effect>) -> Vec<Ticket> {
         let held = self.held.lock();
-        let mut stop = Vec::new();
-        for ticket in held.of_request(request) {
-            let Some(call) = held.by_ticket.get(&ticket) else {
-                continue;
-            };
-            let runs = call.is_running() || call.stage == Stage::Following;
-            if runs && call.context.idempotent {
-                stop.push(ticket);
-            } else if self
-                .intake
-                .lock()
-                .admission()
-                .withdraw(ticket, now, effects)
-            {
-                effects.push(Effect::Drop(ticket, NotRunKind::Withdrawn));
-            }
-        }
-        stop
+        let tickets = held.of_request(request).into_iter();
+        tickets
+            .filter(|ticket| self.cancel_call(&held, *ticket, now, effects))
+            .collect()
+    }
+
+    /// Cancels the call that came as an attempt of another node. Returns it if it is to be stopped.
+    pub fn cancel_attempt(
+        &self,
+        attempt: &AttemptId,
+        now: Time,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Ticket> {
+        let held = self.held.lock();
+        let ticket = held.of_attempt(attempt)?;
+        let stop = self.cancel_call(&held, ticket, now, effects);
+        stop.then_some(ticket)
     }
 
     /// Takes a lease for a sub-call of the running call that `id` names.
@@ -326,6 +331,26 @@
         }
     }
 
+    fn cancel_call(
+        &self,
+        held: &Held,
+        ticket: Ticket,
+        now: Time,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(call) = held.by_ticket.get(&ticket) else {
+            return false;
+        };
+        if call.is_running() || call.stage == Stage::Following {
+            return call.context.idempotent;
+        }
+        let mut intake = self.intake.lock();
+        if intake.admission().withdraw(ticket, now, effects) {
+            effects.push(Effect::Drop(ticket, NotRunKind::Withdrawn));
+        }
+        false
+    }
+
     fn end_token(&self, token: &Token, outcome: &Outcome<Option<A>>, now: Time) {
         let mut tokens = self.tokens.lock();
         match outcome {
--- a/src/coordination/held.rs
+++ b/src/coordination/held.rs
@@ -5,6 +5,7 @@
 use crate::call::CallContext;
 use crate::call::RequestId;
 use crate::clock::Time;
+use crate::coordination::attempts::AttemptId;
 use crate::coordination::attempts::SeenAttempts;
 use crate::coordination::budget::SeenRequests;
 use crate::coordination::join::Join;
@@ -49,6 +50,8 @@
     pub key: Option<RunKey>,
     /// What it asks for.
     pub fingerprint: Fingerprint,
+    /// Attempt of another node that it came as.
+    pub attempt: Option<AttemptId>,
     /// Whether it must run alone.
     pub exclusive: bool,
     /// Whether its target crashed while running it.
@@ -106,6 +109,13 @@
             .collect()
     }
 
+    /// Returns the call that came as an attempt of another node.
+    pub fn of_attempt(&self, attempt: &AttemptId) -> Option<Ticket> {
+        let mut calls = self.by_ticket.iter();
+        let found = calls.find(|(_, call)| call.attempt.as_ref() == Some(attempt));
+        found.map(|(ticket, _)| *ticket)
+    }
+
     /// Marks the running calls as crashed, and returns those that were not marked before.
     pub fn crash(&mut self) -> Vec<Fingerprint> {
         self.by_ticket
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,6 +21,7 @@
 use crate::clock::Time;
 use crate::coordination::admission::TICK;
 use crate::coordination::admission::Ticket;
+use crate::coordination::attempts::AttemptId;
 use crate::coordination::dispatch::Attempt;
 use crate::coordination::dispatch::DispatchConfig;
 use crate::coordination::dispatch::Dispatcher;
@@ -60,6 +61,7 @@
 use crate::transport::forward;
 use crate::transport::kept::KeptAnswer;
 use crate::transport::reply::Notes;
+use crate::waiters::OpenLeases;
 use crate::waiters::Waiters;
 
 /// Reports of crashes that wait to be sent, at most.
@@ -116,6 +118,8 @@
     pub records: Records,
     /// Handlers that wait for a decision.
     pub waiters: Waiters,
+    /// Sub-calls in progress.
+    pub leases: OpenLeases,
     fixed_slots: bool,
     rng: Mutex<ChaCha12Rng>,
     counter: AtomicU64,
@@ -173,6 +177,7 @@
             records: Records::new(),
             fixed_slots: decisions.fixed_slots,
             waiters: Waiters::default(),
+            leases: OpenLeases::default(),
             rng: Mutex::new(rng),
             counter: AtomicU64::new(0),
             ticked: AtomicU64::new(clock.now().micros()),
@@ -298,16 +303,18 @@
         self.waiters.forget(ticket);
         self.waiters.apply(&effects);
         self.waiters.share(&finished.sharing, outcome);
+        self.leases.stop(&finished.open);
         self.ended.notify_waiters();
         finished.spent
     }
 
-    /// Cancels the calls of a request whose caller stopped waiting.
-    pub fn cancel(&self, request: RequestId) {
+    /// Cancels the attempt of another node that nobody waits for any more.
+    pub fn cancel(&self, attempt: &AttemptId) {
         let mut effects = Vec::new();
-        let stop = self.gate.cancel(request, self.clock.now(), &mut effects);
+        let now = self.clock.now();
+        let stop = self.gate.cancel_attempt(attempt, now, &mut effects);
         self.waiters.apply(&effects);
-        for ticket in stop {
+        if let Some(ticket) = stop {
             self.waiters.stop(ticket, UnknownKind::Cancelled);
         }
     }
@@ -331,14 +338,19 @@
         self.with_rng(|rng| self.dispatcher.step(plan, self.clock.now(), rng))
     }
 
-    /// Signs the hop header of an attempt.
-    pub fn sign_hop(&self, attempt: &Attempt) -> String {
+    /// Returns a number that no other attempt of this node has.
+    pub fn next_attempt(&self) -> u64 {
+        self.counter.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Signs the hop header of an attempt that has the given number.
+    pub fn sign_hop(&self, attempt: &Attempt, number: u64) -> String {
         self.keyring.sign(&Hop {
             version: HOP_VERSION,
             from: self.name.clone(),
             to: attempt.to().name.clone(),
             incarnation: self.incarnation,
-            attempt: self.counter.fetch_add(1, Ordering::Relaxed),
+            attempt: number,
             context: attempt.context.clone(),
         })
     }
@@ -366,17 +378,20 @@
         }
     }
 
-    /// Runs what is due.
-    pub fn tick(&self) {
+    /// Runs what is due. Returns whether the process was paused before.
+    pub fn tick(&self) -> bool {
         let mut effects = Vec::new();
         let now = self.clock.now();
         let before = self.ticked.swap(now.micros(), Ordering::Relaxed);
         let late = now.since(Time::from_micros(before).plus(TICK));
         self.gate.set_behind(self.dispatcher.worst_level(now));
-        if self.gate.tick(Tick { now, late }, &mut effects).is_some() {
+        let woke = self.gate.tick(Tick { now, late }, &mut effects);
+        self.waiters.apply(&effects);
+        if let Some(woke) = woke {
             self.pauses.fetch_add(1, Ordering::Relaxed);
+            log::warn!("the process was paused for {:?}", woke.paused);
         }
-        self.waiters.apply(&effects);
+        woke.is_some()
     }
 
     /// Takes over a view of the fleet.
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -4,7 +4,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::call::RequestId;
 use crate::coordination::control;
 use crate::coordination::control::Peer;
 use crate::coordination::poison::CrashReport;
@@ -28,8 +27,10 @@
     Control(control::Request),
     /// A target crashed while it ran a request.
     Crash(CrashReport),
-    /// Nobody waits for the request any more.
-    Cancel(RequestId),
+    /// Nobody waits any more for the attempt of the sender that has this number.
+    Cancel(u64),
+    /// Shows that the receiver can be reached, and is still the one that is meant.
+    Ping,
     /// Issue idempotency tokens, at most [`MAX_TOKENS_ASKED`].
     Mint(u16),
 }
--- a/src/running.rs
+++ b/src/running.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 
 use crate::coordination::admission::TICK;
+use crate::coordination::attempts::AttemptId;
 use crate::coordination::control::ControlSettings;
 use crate::coordination::control::Pace;
 use crate::instance::Incarnation;
@@ -26,6 +27,7 @@
 use crate::settings::Settings;
 use crate::state::fleet::Fleet;
 use crate::status::own;
+use crate::transport::attempt;
 use crate::transport::control::ControlPlane;
 use crate::transport::control::ControlPlaneSettings;
 use crate::transport::control::OtherHandlers;
@@ -294,9 +296,13 @@
                 node.gate.report(node.clock.now(), &report);
             }
         }),
-        cancel: Box::new(move |_, request| {
+        cancel: Box::new(move |from, number| {
             if let Some(node) = for_cancel.upgrade() {
-                node.cancel(request);
+                node.cancel(&AttemptId {
+                    from: from.name.clone(),
+                    incarnation: from.incarnation,
+                    number,
+                });
             }
         }),
         ..OtherHandlers::default()
@@ -347,6 +353,8 @@
     let mut interval = tokio::time::interval(TICK);
     loop {
         interval.tick().await;
-        node.tick();
+        if node.tick() {
+            tokio::spawn(attempt::check_views(node.clone()));
+        }
     }
 }
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -13,7 +13,6 @@
 
 use crate::call::CallContext;
 use crate::call::Priority;
-use crate::coordination::dispatch::Attempt;
 use crate::coordination::dispatch::Call;
 use crate::coordination::dispatch::Plan;
 use crate::coordination::dispatch::Report;
@@ -32,15 +31,15 @@
 use crate::node::Node;
 use crate::protocol::header;
 use crate::state::calls::SubCall;
+use crate::transport::attempt::Ended;
+use crate::transport::attempt::send_attempt;
 use crate::transport::body::AnswerBody;
 use crate::transport::body::RequestBody;
-use crate::transport::forward;
 use crate::transport::forward::Answer;
 use crate::transport::head::Head;
 use crate::transport::outgoing;
 use crate::transport::reply;
 use crate::transport::reply::Connection;
-use crate::transport::told;
 
 /// Serves the sub-calls of the instance's own target.
 ///
@@ -115,7 +114,7 @@
         not_to: None,
     };
     let began = node.clock.now();
-    let (outcome, used) = send_call(node, &out).await;
+    let (outcome, used) = send_child(node, &child, &out).await;
     node.count(&CallEnd {
         side: Side::Egress,
         service: &service,
@@ -172,6 +171,20 @@
     node.gate.lease(text.parse()?, &sub_call, node.clock.now())
 }
 
+/// Sends a sub-call, and stops when the call that made it has ended.
+async fn send_child(node: &Arc<Node>, child: &Child, out: &Outgoing<'_>) -> (Outcome<Answer>, u32) {
+    let Some(lease) = child.lease else {
+        return send_call(node, out).await;
+    };
+    let stopped = node.leases.enter(lease);
+    let ended = tokio::select! {
+        ended = send_call(node, out) => ended,
+        Ok(()) = stopped => (Outcome::Unknown(UnknownKind::Cancelled), out.context.spare),
+    };
+    node.leases.leave(lease);
+    ended
+}
+
 /// Sends a call, with as many attempts as its context allows.
 ///
 /// Returns the outcome and the spare attempts used.
@@ -224,14 +237,6 @@
     }
 }
 
-struct Ended {
-    attempt: Attempt,
-    outcome: Outcome<Answer>,
-    sent: crate::clock::Time,
-    spent: Option<u32>,
-    level: Option<String>,
-}
-
 async fn next_within<F>(
     open: &mut FuturesUnordered<F>,
     wait: Option<std::time::Duration>,
@@ -272,27 +277,3 @@
         AnswerBody::Streamed(_) => 0,
     }
 }
-
-async fn send_attempt(node: &Arc<Node>, out: &Outgoing<'_>, attempt: Attempt) -> Ended {
-    let sent = node.clock.now();
-    let url = format!("http://{}{}", attempt.to().ingress, out.target);
-    let req = node
-        .client
-        .request(out.method.clone(), url)
-        .headers(out.headers.clone())
-        .header(header::HOP, node.sign_hop(&attempt));
-    let req = outgoing::held_body(req, out.body);
-    let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
-    let outcome = match tokio::time::timeout(attempt.context.remaining, sending).await {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::Unknown(UnknownKind::Deadline),
-    };
-    let told = told::told(outcome);
-    Ended {
-        attempt,
-        outcome: told.outcome,
-        sent,
-        spent: told.spent,
-        level: told.level,
-    }
-}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Connects the decisions to callers, targets, the platform and other nodes.
 
 pub mod abort;
+pub mod attempt;
 pub mod body;
 pub mod control;
 pub mod egress;
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -23,7 +23,6 @@
 use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
 
-use crate::call::RequestId;
 use crate::coordination::control;
 use crate::coordination::control::Peer;
 use crate::coordination::poison::CrashReport;
@@ -62,8 +61,8 @@
 /// Takes reports of crashed targets.
 pub type TakeCrash = Box<dyn Fn(&Peer, CrashReport) + Send + Sync>;
 
-/// Takes cancellations.
-pub type TakeCancel = Box<dyn Fn(&Peer, RequestId) + Send + Sync>;
+/// Takes cancellations of attempts, by number.
+pub type TakeCancel = Box<dyn Fn(&Peer, u64) + Send + Sync>;
 
 /// Issues idempotency tokens.
 pub type TakeMint = Box<dyn Fn(&Peer, u16) -> Vec<String> + Send + Sync>;
@@ -94,10 +93,11 @@
                 (self.crash)(from, report);
                 PeerReply::Done
             }
-            PeerRequest::Cancel(id) => {
-                (self.cancel)(from, id);
+            PeerRequest::Cancel(number) => {
+                (self.cancel)(from, number);
                 PeerReply::Done
             }
+            PeerRequest::Ping => PeerReply::Done,
             PeerRequest::Mint(count) => {
                 PeerReply::Tokens((self.mint)(from, count.min(MAX_TOKENS_ASKED)))
             }
--- a/src/waiters.rs
+++ b/src/waiters.rs
@@ -11,6 +11,7 @@
 use crate::error::NotRunKind;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
+use crate::state::calls::LeaseId;
 use crate::transport::kept::KeptAnswer;
 
 /// What a handler is told about its call.
@@ -117,3 +118,35 @@
         let _ = stop.send(kind);
     }
 }
+
+/// Sub-calls in progress, which stop when the call that made them has ended.
+#[derive(Default)]
+pub struct OpenLeases {
+    table: Mutex<HashMap<LeaseId, oneshot::Sender<()>>>,
+}
+
+impl OpenLeases {
+    /// Enters a sub-call. The receiver is told when to stop.
+    pub fn enter(&self, lease: LeaseId) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        self.lock().insert(lease, tx);
+        rx
+    }
+
+    /// Takes out a sub-call that has ended.
+    pub fn leave(&self, lease: LeaseId) {
+        self.lock().remove(&lease);
+    }
+
+    /// Stops sub-calls.
+    pub fn stop(&self, leases: &[LeaseId]) {
+        let mut table = self.lock();
+        for stop in leases.iter().filter_map(|lease| table.remove(lease)) {
+            let _ = stop.send(());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<LeaseId, oneshot::Sender<()>>> {
+        self.table.lock().unwrap_or_else(|p| p.into_inner())
+    }
+}
--- /dev/null
+++ b/tests/cancel.rs
@@ -0,0 +1,120 @@
+//! Cancellation: what nobody waits for any more is stopped at every hop; charges run on.
+
+use std::time::Duration;
+
+use dragonflylead::RequestId;
+use dragonflylead::UnknownKind;
+use dragonflylead::protocol::header;
+use dragonflylead::standin::fleet::Fleet;
+use dragonflylead::standin::fleet::FleetSpec;
+use dragonflylead::standin::fleet::Member;
+use dragonflylead::standin::fleet::Place;
+use dragonflylead::standin::fleet::ServiceSpec;
+use dragonflylead::standin::target::Behaviour;
+use dragonflylead::standin::target::SubCall;
+use http::Method;
+
+const POLICY: &str = "\
+[calls]
+scan = GET registry /animals/* priority=normal idempotent=yes timeout=30s retries=2 # vet desk
+rights = GET pastures /rights/* priority=normal idempotent=yes timeout=30s retries=2 # vet desk
+move = POST pastures /moves priority=critical idempotent=no timeout=30s # shearing fair
+
+[services]
+registry = slots=8 connections=64 # racks
+pastures = slots=8 connections=64 # racks
+";
+
+const SLOW: Duration = Duration::from_secs(3);
+
+async fn fleet(sub_call: (Method, &str)) -> Fleet {
+    let call = SubCall {
+        method: sub_call.0,
+        service: "pastures".to_owned(),
+        path: sub_call.1.to_owned(),
+    };
+    let spec = FleetSpec {
+        policy: POLICY.to_owned(),
+        places: vec![Place {
+            domain: "sur-1".to_owned(),
+            region: "sur".to_owned(),
+        }],
+        services: vec![
+            ServiceSpec {
+                name: "registry".to_owned(),
+                instances: 1,
+                behaviour: Behaviour {
+                    sub_calls: vec![("/animals".to_owned(), call)],
+                    ..Behaviour::default()
+                },
+            },
+            ServiceSpec {
+                name: "pastures".to_owned(),
+                instances: 1,
+                behaviour: Behaviour {
+                    service_time: SLOW,
+                    ..Behaviour::default()
+                },
+            },
+        ],
+        seed: 9,
+    };
+    Fleet::start(&spec).await.unwrap()
+}
+
+async fn until<F>(holds: F)
+where
+    F: Fn() -> bool,
+{
+    while !holds() {
+        tokio::task::yield_now().await;
+    }
+}
+
+fn is_idle(member: &Member) -> bool {
+    member.node.node().gate.is_idle()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_request_stops_its_sub_calls() {
+    struct Case {
+        name: &'static str,
+        sub_call: (Method, &'static str),
+        /// Whether the sub-call's answer is there when its node has become idle.
+        runs_on: bool,
+    }
+    let cases = [
+        Case {
+            name: "lookup",
+            sub_call: (Method::GET, "/rights/7"),
+            runs_on: false,
+        },
+        Case {
+            name: "charge",
+            sub_call: (Method::POST, "/moves"),
+            runs_on: true,
+        },
+    ];
+    for case in cases {
+        let fleet = fleet(case.sub_call).await;
+        let entry = fleet.entries("registry")[0];
+        let request = tokio::spawn(async move {
+            let req = reqwest::Client::new().get(format!("http://{entry}/animals/42"));
+            let response = req.header(header::REQUEST_ID, "scan-42").send().await;
+            response.unwrap().headers()[header::ERROR].clone()
+        });
+        let registry = fleet.of("registry").next().unwrap();
+        let pastures = fleet.of("pastures").next().unwrap();
+        until(|| !pastures.target.runs().is_empty()).await;
+        let node = registry.node.node();
+        let id = RequestId::from_text("scan-42");
+        let stop = node.gate.cancel(id, node.clock.now(), &mut Vec::new());
+        assert_eq!(stop.len(), 1, "{}", case.name);
+        node.waiters.stop(stop[0], UnknownKind::Cancelled);
+        assert_eq!(request.await.unwrap(), "cancelled", "{}", case.name);
+        until(|| is_idle(registry) && is_idle(pastures)).await;
+        let answered = pastures.target.runs()[0].answer.is_some();
+        assert_eq!(answered, case.runs_on, "{}", case.name);
+        fleet.stop().await;
+    }
+}
