--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -78,7 +78,8 @@
                 let address = SocketAddr::new(address.ip(), port);
                 let task = tokio::spawn(async move {
                     if let Ok(Err(e)) = task.await {
-                        log::error!("port {address}: {}", e.kind());
+                        let kind = e.kind().to_string(); // an error not looked at panics
+                        log::error!("port {address}: {kind}");
                     }
                 });
                 Ok(Server { address, shutdown, task })
