--- a/benches/control.rs
+++ b/benches/control.rs
@@ -15,7 +15,10 @@
 use real_fleet::RealFleet;
 
 /// Span over which a fleet at rest is observed.
-const REST: Duration = Duration::from_secs(15);
+const REST: Duration = Duration::from_secs(20);
+
+/// Span before that, in which connections are made.
+const WARM_UP: Duration = Duration::from_secs(10);
 
 /// Changes that are published one after the other.
 const CHANGES: u64 = 10;
@@ -91,7 +94,7 @@
     let mut fleet = RealFleet::start(1, members, Pace::default(), &text).await;
     fleet.act_on(1, |_| true).await;
     let start = empty.at.elapsed().as_secs_f64();
-    tokio::time::sleep(Duration::from_secs(5)).await;
+    tokio::time::sleep(WARM_UP).await;
     let before = read();
     tokio::time::sleep(REST).await;
     let rest = read();
@@ -136,7 +139,7 @@
     };
     let fleet = RealFleet::start(1, BURST_MEMBERS, pace, &policy(100, 1_000)).await;
     fleet.act_on(1, |_| true).await;
-    tokio::time::sleep(Duration::from_secs(5)).await;
+    tokio::time::sleep(WARM_UP).await;
     let before = read();
     tokio::time::sleep(REST).await;
     let rest = read();
--- a/src/coordination/control/settings.rs
+++ b/src/coordination/control/settings.rs
@@ -36,7 +36,7 @@
             tick: Duration::from_millis(200),
             exchange: Duration::from_secs(3),
             cross: Duration::from_secs(2),
-            coalesce: Duration::from_millis(200),
+            coalesce: Duration::from_millis(500),
             stagger: Duration::from_millis(500),
             repair: Duration::from_secs(2),
             pause: PAUSE_GAP,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// The platform answers at once with an old revision, peers answer late with the one in force.
+fn platform_stale_and_peers_slow(fleet: &mut VirtualFleet) {
+    fleet.latency = Duration::from_millis(400);
+    platform_stale(fleet);
+}
+
 fn platform_flapping(fleet: &mut VirtualFleet) {
     fleet.platform = Box::new(|_| Platform::Flapping);
     for revision in 3..13 {
@@ -185,6 +191,7 @@
     let cases = cases![
         platform_down,
         platform_stale,
+        platform_stale_and_peers_slow,
         platform_flapping,
         one_domain_cut_from_platform,
         members_pause,
--- a/tests/control_parts.rs
+++ b/tests/control_parts.rs
@@ -142,7 +142,10 @@
         let mut part = Document::new(wanted);
         for (n, (text, lost)) in texts.iter().enumerate() {
             let delta = whole.replace(Revision(n as u64 + 1), split(text));
-            let applied = delta.filter(|_| !lost).map(|d| part.apply(&d));
+            if *lost {
+                continue;
+            }
+            let applied = delta.map(|d| part.apply(&d));
             if applied != Some(Applied::Done) {
                 let request = part.repair_request(false);
                 let repair = whole.repair(&request).unwrap();
--- a/tests/support/virtual_fleet.rs
+++ b/tests/support/virtual_fleet.rs
@@ -28,8 +28,8 @@
 use dragonflylead::instance::Instance;
 use dragonflylead::instance::InstanceState;
 
-/// Time that a message takes.
-pub(crate) const LATENCY: Duration = Duration::from_millis(1);
+/// Time that a message takes, unless a test changes it.
+const LATENCY: Duration = Duration::from_millis(1);
 
 /// Time after which an unanswered request fails.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(2);
@@ -93,6 +93,7 @@
     pub(crate) violations: Vec<String>,
     pub(crate) check: bool,
     pub(crate) pace: Pace,
+    pub(crate) latency: Duration,
     queue: BTreeMap<(Time, u64), Scheduled>,
     waiting: Vec<(usize, u64, Watch)>,
     addresses: BTreeMap<SocketAddr, usize>,
@@ -143,6 +144,7 @@
             violations: Vec::new(),
             check: true,
             pace: Pace::default(),
+            latency: LATENCY,
             queue: BTreeMap::new(),
             waiting: Vec::new(),
             addresses: BTreeMap::new(),
@@ -298,7 +300,7 @@
                 } else {
                     Event::Failed(contact, request, tries)
                 };
-                self.schedule(from, from_life, LATENCY, event);
+                self.schedule(from, from_life, self.latency, event);
                 actions
             }
             Event::Reply(contact, request, peer, reply) => {
@@ -388,14 +390,14 @@
             return;
         }
         if stopped {
-            self.schedule(from, life, LATENCY, Event::Failed(to, request, tries));
+            self.schedule(from, life, self.latency, Event::Failed(to, request, tries));
             return;
         }
         let peer = self.members[from].peer(life);
         let life_there = self.members[at].life;
         let back = if self.members[at].paused { 0 } else { life };
         let event = Event::Request(from, peer, request, tries, back);
-        self.schedule(at, life_there, LATENCY, event);
+        self.schedule(at, life_there, self.latency, event);
     }
 
     /// Once every acting member of a domain acts on a revision, none may act on an older one.
