--- a/tests/report.rs
+++ b/tests/report.rs
@@ -143,6 +143,14 @@
             ],
             want: Urgency::Soon,
         },
+        Case {
+            name: "a blip of four minutes",
+            loads: vec![
+                load(NOW_MINUTE - 600, NOW_MINUTE - 4, 20, 0),
+                load(NOW_MINUTE - 4, NOW_MINUTE, 20, 2),
+            ],
+            want: Urgency::None,
+        },
         Case {
             name: "burn of six hours",
             loads: vec![load(NOW_MINUTE - 360, NOW_MINUTE, 100, 1)],
