--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -3,28 +3,23 @@
 
 use std::io;
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use rocket::Config;
-use rocket::Shutdown;
 use rocket::State;
-use rocket::config::Ident;
-use rocket::config::LogLevel;
-use rocket::config::Shutdown as ShutdownConfig;
-use rocket::fairing::AdHoc;
 use rocket::get;
 use rocket::http::Status;
 use rocket::response::content::RawJson;
 use rocket::routes;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::instance::Instance;
 use crate::transport::platform::ConfigDocument;
 use crate::transport::platform::InstanceDocument;
+use crate::transport::server::Server;
 
 /// Longest time that a watch is held open.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -157,7 +152,7 @@
 pub struct PlatformStandin {
     url: String,
     shared: Arc<Shared>,
-    shutdown: Shutdown,
+    server: Server,
 }
 
 impl PlatformStandin {
@@ -172,36 +167,18 @@
             published: Mutex::default(),
             changed: watch::Sender::new(0),
         });
-        let (tx, rx) = oneshot::channel();
-        let tx = Mutex::new(Some(tx));
-        let liftoff = AdHoc::on_liftoff("port", move |rocket| {
-            Box::pin(async move {
-                if let Some(tx) = tx.lock().ok().and_then(|mut tx| tx.take()) {
-                    let _ = tx.send((rocket.config().port, rocket.shutdown()));
-                }
-            })
-        });
-        let rocket = rocket::custom(rocket_config(port))
-            .manage(shared.clone())
-            .mount("/", routes![config, instances])
-            .attach(liftoff);
-        let task = tokio::spawn(async move {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let managed = shared.clone();
+        let server = Server::build(address, |rocket| {
             rocket
-                .launch()
-                .await
-                .map(drop)
-                .map_err(|e| io::Error::other(e.to_string()))
+                .manage(managed)
+                .mount("/", routes![config, instances])
         });
-        let Ok((port, shutdown)) = rx.await else {
-            let ended = task.await.map_err(io::Error::other)?;
-            return Err(ended
-                .err()
-                .unwrap_or_else(|| io::Error::other("the stand-in ended before it served")));
-        };
+        let server = server.await?;
         Ok(PlatformStandin {
-            url: format!("http://127.0.0.1:{port}"),
+            url: format!("http://{}", server.address()),
             shared,
-            shutdown,
+            server,
         })
     }
 
@@ -242,24 +219,6 @@
 
 impl Drop for PlatformStandin {
     fn drop(&mut self) {
-        self.shutdown.clone().notify();
-    }
-}
-
-fn rocket_config(port: u16) -> Config {
-    Config {
-        address: Ipv4Addr::LOCALHOST.into(),
-        port,
-        ident: Ident::none(),
-        log_level: LogLevel::Off,
-        shutdown: ShutdownConfig {
-            ctrlc: false,
-            #[cfg(unix)]
-            signals: Default::default(),
-            grace: 0,
-            mercy: 0,
-            ..ShutdownConfig::default()
-        },
-        ..Config::default()
+        self.server.close();
     }
 }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use rocket::Build;
+use rocket::Rocket;
 use rocket::Route;
 use rocket::Shutdown;
 use rocket::config::LogLevel;
@@ -53,7 +55,23 @@
 
 impl Server {
     /// Serves `routes` at `address`; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be bound.
     pub async fn start(address: SocketAddr, routes: Vec<Route>) -> io::Result<Server> {
+        Server::build(address, |rocket| rocket.mount("/", routes)).await
+    }
+
+    /// Serves at `address` what `build` mounts; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be bound.
+    pub async fn build<F>(address: SocketAddr, build: F) -> io::Result<Server>
+    where
+        F: FnOnce(Rocket<Build>) -> Rocket<Build>,
+    {
         let (tx, rx) = oneshot::channel();
         let tx = std::sync::Mutex::new(Some(tx));
         let report_port = AdHoc::on_liftoff("port", move |rocket| {
@@ -65,8 +83,8 @@
         });
         let rocket = rocket::custom(figment(address))
             .attach(Shield::new())
-            .attach(report_port)
-            .mount("/", routes)
+            .attach(report_port);
+        let rocket = build(rocket)
             .ignite()
             .await
             .map_err(|e| io::Error::other(format!("port {address}: {}", e.kind())))?;
@@ -93,6 +111,11 @@
         self.address
     }
 
+    /// Stops accepting connections, without waiting for the server to end.
+    pub fn close(&self) {
+        self.shutdown.clone().notify();
+    }
+
     /// Stops accepting connections and waits until the server has ended.
     pub async fn stop(self) {
         self.shutdown.notify();
