--- a/benches/overload.rs
+++ b/benches/overload/sim.rs
@@ -1,8 +1,4 @@
-//! One instance under overload in virtual time: `cargo bench --bench overload`.
-//!
-//! Prints a row for each scenario and setting: goodput of whole requests as a share of what the
-//! slots can do, success of charges and lookups, wasted slot time, time to recover, sends for each
-//! request.
+//! One instance, its target and its callers, as a queue of events.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -14,7 +10,6 @@
 use dragonflylead::RequestId;
 use dragonflylead::Time;
 use dragonflylead::coordination::admission::Admission;
-use dragonflylead::coordination::admission::AdmissionConfig;
 use dragonflylead::coordination::admission::Effect;
 use dragonflylead::coordination::admission::Ending;
 use dragonflylead::coordination::admission::Job;
@@ -26,100 +21,20 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-const SLOTS: u32 = 20;
-const SERVICE_MS: f64 = 50.0;
-const LOAD: f64 = 0.8;
-const CAUSE: (Time, Time) = (Time::from_millis(5_000), Time::from_millis(15_000));
-const END: Time = Time::from_millis(30_000);
-const SENDS: u32 = 3;
-const CHARGE_TIMEOUT: Duration = Duration::from_millis(2_000);
-const CHARGE_SHARE: f64 = 0.1;
-const BUCKET_MS: u64 = 250;
-const SEEDS: u64 = 5;
-
-#[derive(Clone, Copy)]
-struct Scenario {
-    name: &'static str,
-    demand: f64,
-    service: f64,
-    servers: u32,
-    /// Factor on the service time of lookups alone.
-    lookups: f64,
-    lookup_timeout: Duration,
-    /// Growth of the service time for each call that waits in the target, per server.
-    contention: f64,
-}
-
-const CALM: Scenario = Scenario {
-    name: "calm",
-    demand: 1.0,
-    service: 1.0,
-    servers: SLOTS,
-    lookups: 1.0,
-    lookup_timeout: Duration::from_millis(800),
-    contention: 0.0,
-};
-
-const SCENARIOS: [Scenario; 5] = [
-    Scenario {
-        name: "surge 3x",
-        demand: 3.0,
-        ..CALM
-    },
-    Scenario {
-        name: "target 5x slower",
-        service: 5.0,
-        ..CALM
-    },
-    Scenario {
-        name: "3 of 4 servers lost in the target",
-        servers: SLOTS / 4,
-        ..CALM
-    },
-    Scenario {
-        name: "3 of 4 servers lost, contention",
-        servers: SLOTS / 4,
-        contention: 0.5,
-        ..CALM
-    },
-    Scenario {
-        name: "lookups hang",
-        lookups: 200.0,
-        lookup_timeout: Duration::from_secs(5),
-        ..CALM
-    },
-];
-
-struct Setting {
-    name: &'static str,
-    cfg: AdmissionConfig,
-    level: bool,
-}
-
-fn settings() -> Vec<Setting> {
-    let full = AdmissionConfig::full(SLOTS);
-    let row = |name, cfg, level| Setting { name, cfg, level };
-    let off = |name, change: fn(&mut AdmissionConfig)| {
-        let mut cfg = full;
-        change(&mut cfg);
-        row(name, cfg, false)
-    };
-    vec![
-        row("no control", AdmissionConfig::none(), false),
-        row("fixed limit, FIFO", AdmissionConfig::fixed(SLOTS), false),
-        row("full", full, false),
-        row("full with level", full, true),
-        off("full without adaptive limit", |c| c.adaptive_limit = false),
-        off("full without sojourn control", |c| {
-            c.sojourn_control = false
-        }),
-        off("full without priority order", |c| c.priority_order = false),
-        off("full without preemption", |c| c.preemption = false),
-    ]
-}
+use crate::scenario::CAUSE;
+use crate::scenario::CHARGE_SHARE;
+use crate::scenario::CHARGE_TIMEOUT;
+use crate::scenario::END;
+use crate::scenario::LOAD;
+use crate::scenario::SENDS;
+use crate::scenario::SERVICE_MS;
+use crate::scenario::SLOTS;
+use crate::scenario::Scenario;
+use crate::scenario::Setting;
+use crate::scenario::between;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(crate) enum Event {
     Arrive,
     Send(u64),
     Served(u64),
@@ -128,38 +43,38 @@
 }
 
 #[derive(Default)]
-struct Request {
-    arrived: Time,
-    charge: bool,
-    normal: bool,
-    sends: u32,
-    completed: Option<Time>,
+pub(crate) struct Request {
+    pub(crate) arrived: Time,
+    pub(crate) charge: bool,
+    pub(crate) normal: bool,
+    pub(crate) sends: u32,
+    pub(crate) completed: Option<Time>,
 }
 
-struct Call {
-    request: u64,
-    served_since: Option<Time>,
+pub(crate) struct Call {
+    pub(crate) request: u64,
+    pub(crate) served_since: Option<Time>,
 }
 
-struct Sim {
-    scenario: Scenario,
-    rng: ChaCha8Rng,
-    now: Time,
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
-    scheduled: u64,
-    admission: Admission,
-    control: Option<LevelControl>,
-    requests: Vec<Request>,
-    calls: BTreeMap<u64, Call>,
-    next_ticket: u64,
-    waiting_in_target: VecDeque<u64>,
-    busy: u32,
-    useful: Duration,
-    wasted: Duration,
+pub(crate) struct Sim {
+    pub(crate) scenario: Scenario,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) now: Time,
+    pub(crate) events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    pub(crate) scheduled: u64,
+    pub(crate) admission: Admission,
+    pub(crate) control: Option<LevelControl>,
+    pub(crate) requests: Vec<Request>,
+    pub(crate) calls: BTreeMap<u64, Call>,
+    pub(crate) next_ticket: u64,
+    pub(crate) waiting_in_target: VecDeque<u64>,
+    pub(crate) busy: u32,
+    pub(crate) useful: Duration,
+    pub(crate) wasted: Duration,
 }
 
 impl Sim {
-    fn new(scenario: Scenario, setting: &Setting, seed: u64) -> Sim {
+    pub(crate) fn new(scenario: Scenario, setting: &Setting, seed: u64) -> Sim {
         let control = setting.level.then(|| LevelControl::new(Time::ZERO));
         let mut sim = Sim {
             scenario,
@@ -216,7 +131,7 @@
         self.admission.load().in_flight.saturating_sub(self.busy) as usize
     }
 
-    fn run(&mut self) {
+    pub(crate) fn run(&mut self) {
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             self.now = at;
             match event {
@@ -387,7 +302,7 @@
     }
 }
 
-fn exponential<R>(rng: &mut R, mean_ms: f64) -> Duration
+pub(crate) fn exponential<R>(rng: &mut R, mean_ms: f64) -> Duration
 where
     R: Rng,
 {
@@ -396,103 +311,9 @@
 }
 
 /// The sum of four exponential times, with a coefficient of variation of 0.5.
-fn service_time<R>(rng: &mut R) -> Duration
+pub(crate) fn service_time<R>(rng: &mut R) -> Duration
 where
     R: Rng,
 {
     (0..4).map(|_| exponential(rng, SERVICE_MS / 4.0)).sum()
 }
-
-struct Figures {
-    goodput: f64,
-    charges: f64,
-    normal: f64,
-    low: f64,
-    wasted: f64,
-    recovery_s: f64,
-    sends: f64,
-}
-
-fn success<'a, I>(requests: I) -> f64
-where
-    I: Iterator<Item = &'a Request>,
-{
-    let (mut all, mut completed) = (0.0, 0.0);
-    for request in requests {
-        all += 1.0;
-        completed += f64::from(u8::from(request.completed.is_some()));
-    }
-    match all == 0.0 {
-        true => 1.0,
-        false => completed / all,
-    }
-}
-
-fn between(time: Time, span: (Time, Time)) -> bool {
-    span.0 <= time && time < span.1
-}
-
-/// Time from the end of the cause until a second of arrivals succeeds as well as before it.
-fn recovery(requests: &[Request]) -> f64 {
-    let before = success(requests.iter().filter(|r| r.arrived < CAUSE.0));
-    let from = CAUSE.1.micros() / 1_000;
-    let to = END.micros() / 1_000 - 1_000;
-    let start = (from..to).step_by(BUCKET_MS as usize).find(|start| {
-        let span = (Time::from_millis(*start), Time::from_millis(*start + 1_000));
-        success(requests.iter().filter(|r| between(r.arrived, span))) >= before * 0.99
-    });
-    start.map_or(f64::INFINITY, |start| (start - from) as f64 / 1e3)
-}
-
-fn figures(scenario: Scenario, sim: &Sim) -> Figures {
-    let requests = &sim.requests;
-    let capacity_ms = f64::from(scenario.servers) / (SERVICE_MS * scenario.service);
-    let capacity = capacity_ms * CAUSE.1.since(CAUSE.0).as_millis() as f64;
-    let during = || requests.iter().filter(|r| between(r.arrived, CAUSE));
-    let completed = requests
-        .iter()
-        .filter(|r| r.completed.is_some_and(|at| between(at, CAUSE)));
-    let slot_time = sim.useful + sim.wasted;
-    Figures {
-        goodput: completed.count() as f64 / capacity,
-        charges: success(during().filter(|r| r.charge)),
-        normal: success(during().filter(|r| !r.charge && r.normal)),
-        low: success(during().filter(|r| !r.charge && !r.normal)),
-        wasted: sim.wasted.as_secs_f64() / slot_time.as_secs_f64(),
-        recovery_s: recovery(requests),
-        sends: during().map(|r| f64::from(r.sends)).sum::<f64>() / during().count() as f64,
-    }
-}
-
-fn mean(all: &[Figures], value: fn(&Figures) -> f64) -> f64 {
-    all.iter().map(value).sum::<f64>() / all.len() as f64
-}
-
-fn main() {
-    println!(
-        "| scenario | setting | goodput % | charges % | normal % | low % | wasted % | recovery s | sends |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|");
-    for scenario in SCENARIOS {
-        for setting in settings() {
-            let run = |seed| {
-                let mut sim = Sim::new(scenario, &setting, seed);
-                sim.run();
-                figures(scenario, &sim)
-            };
-            let all: Vec<Figures> = (0..SEEDS).map(run).collect();
-            println!(
-                "| {} | {} | {:.1} | {:.2} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} |",
-                scenario.name,
-                setting.name,
-                mean(&all, |f| f.goodput) * 100.0,
-                mean(&all, |f| f.charges) * 100.0,
-                mean(&all, |f| f.normal) * 100.0,
-                mean(&all, |f| f.low) * 100.0,
-                mean(&all, |f| f.wasted) * 100.0,
-                mean(&all, |f| f.recovery_s),
-                mean(&all, |f| f.sends),
-            );
-        }
-    }
-}
--- a/src/coordination/gate/intake.rs
+++ b/src/coordination/gate/intake.rs
@@ -62,9 +62,11 @@
         if !self.levels {
             return true;
         }
-        let own = self.control.arrive(cx.priority, cx.cohort());
         self.control.update(self.admission.load(), now);
-        own && (!entered || self.behind.admits(cx.priority, cx.cohort()))
+        if entered && !self.behind.admits(cx.priority, cx.cohort()) {
+            return false;
+        }
+        self.control.arrive(cx.priority, cx.cohort())
     }
 
     /// Runs what is due.
--- /dev/null
+++ b/tests/support/admission.rs
@@ -0,0 +1,73 @@
+//! Drives an admission in virtual time.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use dragonflylead::Priority;
+use dragonflylead::Time;
+use dragonflylead::call::Cohort;
+use dragonflylead::coordination::admission::Admission;
+use dragonflylead::coordination::admission::AdmissionConfig;
+use dragonflylead::coordination::admission::Effect;
+use dragonflylead::coordination::admission::Ending;
+use dragonflylead::coordination::admission::Job;
+use dragonflylead::coordination::admission::Ticket;
+
+pub(crate) const MS: Duration = Duration::from_millis(1);
+
+pub(crate) fn job(ticket: u64, priority: Priority, idempotent: bool) -> Job {
+    Job {
+        ticket: Ticket(ticket),
+        priority,
+        cohort: Cohort(0),
+        idempotent,
+        deadline: Time::from_millis(60_000),
+        exclusive: false,
+    }
+}
+
+/// Drives an admission and keeps what it decided.
+pub(crate) struct Bench {
+    pub(crate) admission: Admission,
+    pub(crate) now: Time,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Bench {
+    pub(crate) fn new(cfg: AdmissionConfig) -> Bench {
+        let now = Time::from_millis(1_000);
+        Bench {
+            admission: Admission::with_config(cfg, now),
+            now,
+            effects: Vec::new(),
+        }
+    }
+
+    pub(crate) fn offer<I>(&mut self, jobs: I)
+    where
+        I: IntoIterator<Item = Job>,
+    {
+        for job in jobs {
+            self.admission.offer(job, self.now, &mut self.effects);
+        }
+    }
+
+    pub(crate) fn finish(&mut self, ticket: u64, ending: Ending) {
+        self.admission
+            .finish(Ticket(ticket), ending, self.now, &mut self.effects);
+    }
+
+    pub(crate) fn pass(&mut self, span: Duration) {
+        self.now = self.now.plus(span);
+        self.admission.tick(self.now, &mut self.effects);
+    }
+
+    pub(crate) fn started(&self) -> Vec<u64> {
+        let start = |e: &Effect| match e {
+            Effect::Start(ticket) => Some(ticket.0),
+            _ => None,
+        };
+        self.effects.iter().filter_map(start).collect()
+    }
+}
