--- a/src/coordination/control/exchange.rs
+++ b/src/coordination/control/exchange.rs
@@ -27,8 +27,8 @@
 use crate::instance::DomainName;
 use crate::instance::InstanceName;
 
-/// Share of the exchanges across domains that go to a reader which watches the platform.
-const WATCHER_SHARE: f64 = 0.75;
+/// Silence of the watching readers after which one of them is asked.
+const WATCHER_ASK: Duration = Duration::from_secs(2);
 
 impl Control {
     pub(super) fn exchange_with(&self, to: Contact) -> Action {
@@ -252,18 +252,24 @@
             .collect()
     }
 
-    /// Draws the first reader of a domain that watches the platform for others.
+    /// Draws another reader that watches the platform for all.
     fn draw_watcher<R>(&self, rng: &mut R) -> Option<Contact>
     where
         R: Rng,
     {
-        let mut domains = self.far_domains();
-        let all = domains.keys().copied().chain([&self.me.domain]);
-        let watch: Vec<DomainName> = reader::watch_domains(all).into_iter().cloned().collect();
-        let far: Vec<&DomainName> = watch.iter().filter(|d| **d != self.me.domain).collect();
-        let names = domains.remove(*far.choose(rng)?)?;
-        let first = reader::readers(names).first().copied()?;
-        self.members.get(first).map(contact)
+        let far = self.far_domains();
+        let all = far.keys().copied().chain([&self.me.domain]);
+        let first = |domain: &DomainName| match far.get(domain) {
+            Some(names) => reader::readers(names.iter().copied()).first().copied(),
+            None => self.readers.first(),
+        };
+        let watchers: Vec<&InstanceName> = reader::watch_domains(all)
+            .into_iter()
+            .filter_map(first)
+            .filter(|n| **n != self.me.name)
+            .collect();
+        let chosen = watchers.choose(rng)?;
+        self.members.get(chosen).map(contact)
     }
 
     /// Draws a reader of another domain, each domain as likely.
@@ -296,9 +302,10 @@
         }
         if now >= self.next_cross && self.is_reader() {
             self.next_cross = now.plus(around(self.pace.cross, rng));
-            let chosen = match rng.random_bool(WATCHER_SHARE) {
-                true => self.draw_watcher(rng),
-                false => self.draw_far_reader(rng),
+            let heard = self.watcher_heard.map(|at| now.since(at));
+            let chosen = match heard.is_some_and(|silence| silence < WATCHER_ASK) {
+                true => self.draw_far_reader(rng),
+                false => self.draw_watcher(rng),
             };
             actions.extend(chosen.map(|to| self.exchange_with(to)));
         }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -177,6 +177,14 @@
     assert!(fleet.run(IN_FORCE + WATCHER_SILENCE, |f| f.all_act_on(3)));
 }
 
+#[test]
+fn one_reader_of_a_domain_watches() {
+    let mut fleet = VirtualFleet::new(1, EACH, 1);
+    fleet.run_for(2 * MINUTE);
+    let controls = fleet.members.iter().filter_map(|m| m.control.as_ref());
+    assert_eq!(controls.filter(|c| c.status().watching).count(), 1);
+}
+
 #[test]
 fn no_member_acts_on_an_older_revision() {
     struct Case {
