--- a/src/coordination/control/exchange.rs
+++ b/src/coordination/control/exchange.rs
@@ -27,6 +27,9 @@
 use crate::instance::DomainName;
 use crate::instance::InstanceName;
 
+/// Silence of the watching readers after which one of them is asked.
+const WATCHER_ASK: Duration = Duration::from_secs(2);
+
 impl Control {
     pub(super) fn exchange_with(&self, to: Contact) -> Action {
         Action::Send {
@@ -68,6 +71,7 @@
     ) where
         R: Rng,
     {
+        self.confirmed = Some(now);
         if let Some(rejection) = &exchanged.rejection {
             self.config.note_rejection(rejection);
         }
@@ -79,6 +83,7 @@
                 }
             }
         }
+        self.hear_of(now, &exchanged.status);
         self.phase.answered(to, &self.me.domain, &exchanged.status);
         self.phase.learn_readers(exchanged.readers);
         self.pull_if_newer(now, Some(to.clone()), &exchanged.status, rng, actions);
@@ -227,18 +232,52 @@
         self.readers.iter().filter_map(here).collect()
     }
 
-    /// Draws a reader of another domain, each domain as likely.
-    fn draw_far_reader<R>(&self, rng: &mut R) -> Option<Contact>
-    where
-        R: Rng,
-    {
+    fn far_domains(&self) -> BTreeMap<&DomainName, Vec<&InstanceName>> {
         let mut domains: BTreeMap<&DomainName, Vec<&InstanceName>> = BTreeMap::new();
         let reachable = self.members.iter().filter(|m| m.is_reachable());
         for member in reachable.filter(|m| m.instance.domain != self.me.domain) {
             let names = domains.entry(&member.instance.domain).or_default();
             names.push(name(member));
         }
-        let domains: Vec<Vec<&InstanceName>> = domains.into_values().collect();
+        domains
+    }
+
+    /// Returns the first reader of each other domain.
+    pub(super) fn first_far_readers(&self) -> Vec<Contact> {
+        let domains = self.far_domains().into_values();
+        let first = domains.filter_map(|names| reader::readers(names).first().copied());
+        first
+            .filter_map(|n| self.members.get(n))
+            .map(contact)
+            .collect()
+    }
+
+    /// Draws another reader that watches the platform for all.
+    fn draw_watcher<R>(&self, rng: &mut R) -> Option<Contact>
+    where
+        R: Rng,
+    {
+        let far = self.far_domains();
+        let all = far.keys().copied().chain([&self.me.domain]);
+        let first = |domain: &DomainName| match far.get(domain) {
+            Some(names) => reader::readers(names.iter().copied()).first().copied(),
+            None => self.readers.first(),
+        };
+        let watchers: Vec<&InstanceName> = reader::watch_domains(all)
+            .into_iter()
+            .filter_map(first)
+            .filter(|n| **n != self.me.name)
+            .collect();
+        let chosen = watchers.choose(rng)?;
+        self.members.get(chosen).map(contact)
+    }
+
+    /// Draws a reader of another domain, each domain as likely.
+    fn draw_far_reader<R>(&self, rng: &mut R) -> Option<Contact>
+    where
+        R: Rng,
+    {
+        let domains: Vec<Vec<&InstanceName>> = self.far_domains().into_values().collect();
         let names = domains.choose(rng)?;
         let readers = reader::readers(names.iter().copied());
         let chosen = readers.choose(rng)?;
@@ -263,7 +302,11 @@
         }
         if now >= self.next_cross && self.is_reader() {
             self.next_cross = now.plus(around(self.pace.cross, rng));
-            let chosen = self.draw_far_reader(rng);
+            let heard = self.watcher_heard.map(|at| now.since(at));
+            let chosen = match heard.is_some_and(|silence| silence < WATCHER_ASK) {
+                true => self.draw_far_reader(rng),
+                false => self.draw_watcher(rng),
+            };
             actions.extend(chosen.map(|to| self.exchange_with(to)));
         }
     }
--- a/src/coordination/control/message.rs
+++ b/src/coordination/control/message.rs
@@ -56,6 +56,8 @@
     pub draining: bool,
     /// Whether the node holds both documents whole.
     pub complete: bool,
+    /// Whether the node watches the platform, and the platform answers.
+    pub watching: bool,
 }
 
 impl Status {
@@ -160,6 +162,8 @@
     Watch(Watch),
     /// Report a rejected revision to the operators.
     Rejected(Rejection),
+    /// Report that a peer remembers a later incarnation of this instance.
+    Superseded(InstanceName),
 }
 
 /// A call to the platform.
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -295,7 +295,7 @@
         &self.links
     }
 
-    /// Sets the byte budget of the link to `region`; an unchanged one keeps its level.
+    /// Sets the byte budget of the link to `region`; what was spent stays spent.
     pub fn set_link(&mut self, region: &RegionName, cfg: LinkConfig, now: Time) {
         self.links.set(region, cfg, now);
     }
@@ -341,7 +341,7 @@
             .select(&self.home.instance, &placed)
             .into_iter()
             .map(|(place, instance)| match known.remove(&instance.name) {
-                Some(t) if t.instance.ingress == instance.ingress => t.listed(instance, place, now),
+                Some(t) if t.instance.ingress == instance.ingress => t.listed(instance, place),
                 _ => TargetState::new(instance, place, !first_time, now),
             })
             .collect();
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -13,7 +13,6 @@
 
 use crate::call::CallContext;
 use crate::call::Priority;
-use crate::coordination::dispatch::Attempt;
 use crate::coordination::dispatch::Call;
 use crate::coordination::dispatch::Plan;
 use crate::coordination::dispatch::Report;
@@ -27,18 +26,20 @@
 use crate::error::UnknownKind;
 use crate::instance::InstanceName;
 use crate::instance::ServiceName;
+use crate::metrics::CallEnd;
+use crate::metrics::Side;
 use crate::node::Node;
 use crate::protocol::header;
 use crate::state::calls::SubCall;
+use crate::transport::attempt::Ended;
+use crate::transport::attempt::send_attempt;
 use crate::transport::body::AnswerBody;
 use crate::transport::body::RequestBody;
-use crate::transport::forward;
 use crate::transport::forward::Answer;
 use crate::transport::head::Head;
 use crate::transport::outgoing;
 use crate::transport::reply;
 use crate::transport::reply::Connection;
-use crate::transport::told;
 
 /// Serves the sub-calls of the instance's own target.
 ///
@@ -89,6 +90,7 @@
     let head = Head::read(req, node.settings.limits.max_header_bytes as usize).map_err(refusal)?;
     let (service, target) =
         split_service(&head.target).ok_or(refusal(NotRunKind::NoSuchService))?;
+    node.meet(&service).await;
     let policy = node.policy();
     let path = target.split('?').next().unwrap_or_default();
     let rule = policy.rule_for(head.method.as_str(), service.as_str(), path);
@@ -111,7 +113,15 @@
         cross_region: treatment.cross_region,
         not_to: None,
     };
-    let (outcome, used) = send_call(node, &out).await;
+    let began = node.clock.now();
+    let (outcome, used) = send_child(node, &child, &out).await;
+    node.count(&CallEnd {
+        side: Side::Egress,
+        service: &service,
+        priority: child.context.priority,
+        error: outcome.error(),
+        took: node.clock.now().since(began),
+    });
     node.gate
         .give_back(&child, child.context.spare.saturating_sub(used));
     let connection = Connection {
@@ -161,6 +171,20 @@
     node.gate.lease(text.parse()?, &sub_call, node.clock.now())
 }
 
+/// Sends a sub-call, and stops when the call that made it has ended.
+async fn send_child(node: &Arc<Node>, child: &Child, out: &Outgoing<'_>) -> (Outcome<Answer>, u32) {
+    let Some(lease) = child.lease else {
+        return send_call(node, out).await;
+    };
+    let stopped = node.leases.enter(lease);
+    let ended = tokio::select! {
+        ended = send_call(node, out) => ended,
+        Ok(()) = stopped => (Outcome::Unknown(UnknownKind::Cancelled), out.context.spare),
+    };
+    node.leases.leave(lease);
+    ended
+}
+
 /// Sends a call, with as many attempts as its context allows.
 ///
 /// Returns the outcome and the spare attempts used.
@@ -176,7 +200,12 @@
     let mut so_far: Option<Outcome<Answer>> = None;
     loop {
         match node.next_step(&mut plan) {
-            Step::Send(attempt) => open.push(send_attempt(node, out, *attempt)),
+            Step::Send(attempt) => {
+                if let Some(reason) = attempt.reason {
+                    node.records.metrics.retried(out.service, reason);
+                }
+                open.push(send_attempt(node, out, *attempt));
+            }
             Step::Wait(until) => {
                 let wait = until.map(|until| until.since(node.clock.now()));
                 let Some(ended) = next_within(&mut open, wait).await else {
@@ -194,6 +223,9 @@
                 so_far = Some(outcome);
             }
             Step::Fail(kind) => {
+                if let Some(reason) = plan.denied() {
+                    node.records.metrics.denied(out.service, reason);
+                }
                 let failed = Outcome::from_kind(kind);
                 let outcome = match so_far {
                     None => failed,
@@ -205,14 +237,6 @@
     }
 }
 
-struct Ended {
-    attempt: Attempt,
-    outcome: Outcome<Answer>,
-    sent: crate::clock::Time,
-    spent: Option<u32>,
-    level: Option<String>,
-}
-
 async fn next_within<F>(
     open: &mut FuturesUnordered<F>,
     wait: Option<std::time::Duration>,
@@ -232,6 +256,10 @@
         Outcome::NotRun(kind) => (Err(ErrorKind::NotRun(*kind)), 0),
         Outcome::Unknown(kind) => (Err(ErrorKind::Unknown(*kind)), 0),
     };
+    if ended.attempt.pick.toll.is_some() {
+        let region = &ended.attempt.to().region;
+        node.records.metrics.link(region, bytes);
+    }
     let now = node.clock.now();
     let report = Report {
         result,
@@ -249,27 +277,3 @@
         AnswerBody::Streamed(_) => 0,
     }
 }
-
-async fn send_attempt(node: &Arc<Node>, out: &Outgoing<'_>, attempt: Attempt) -> Ended {
-    let sent = node.clock.now();
-    let url = format!("http://{}{}", attempt.to().ingress, out.target);
-    let req = node
-        .client
-        .request(out.method.clone(), url)
-        .headers(out.headers.clone())
-        .header(header::HOP, node.sign_hop(&attempt));
-    let req = outgoing::held_body(req, out.body);
-    let sending = forward::send(req, node.settings.limits.answer_buffer_bytes as usize);
-    let outcome = match tokio::time::timeout(attempt.context.remaining, sending).await {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::Unknown(UnknownKind::Deadline),
-    };
-    let told = told::told(outcome);
-    Ended {
-        attempt,
-        outcome: told.outcome,
-        sent,
-        spent: told.spent,
-        level: told.level,
-    }
-}
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dragonflylead::coordination::document::Revision;
+use dragonflylead::coordination::reader::WATCHER_SILENCE;
 
 use virtual_fleet::Platform;
 use virtual_fleet::VirtualFleet;
@@ -57,6 +58,12 @@
     }
 }
 
+/// The platform answers at once with an old revision, peers answer late with the one in force.
+fn platform_stale_and_peers_slow(fleet: &mut VirtualFleet) {
+    fleet.latency = Duration::from_millis(400);
+    platform_stale(fleet);
+}
+
 fn platform_flapping(fleet: &mut VirtualFleet) {
     fleet.platform = Box::new(|_| Platform::Flapping);
     for revision in 3..13 {
@@ -154,6 +161,30 @@
     assert!(fleet.run(IN_FORCE, |f| f.all_act_on(3)));
 }
 
+/// The readers that watch for others are lost together: the rest notice and watch themselves.
+fn watching_readers_die(fleet: &mut VirtualFleet) {
+    let watches = |f: &VirtualFleet, at: &usize| {
+        let control = f.members[*at].control.as_ref();
+        control.is_some_and(|c| c.status().watching)
+    };
+    fleet.run_for(MINUTE);
+    let dead: Vec<usize> = (0..DOMAINS * EACH)
+        .filter(|at| watches(fleet, at))
+        .collect();
+    assert_eq!(dead.len(), DOMAINS, "one reader of each domain watches");
+    dead.iter().for_each(|at| fleet.stop(*at));
+    fleet.publish(3, policy(300));
+    assert!(fleet.run(IN_FORCE + WATCHER_SILENCE, |f| f.all_act_on(3)));
+}
+
+#[test]
+fn one_reader_of_a_domain_watches() {
+    let mut fleet = VirtualFleet::new(1, EACH, 1);
+    fleet.run_for(2 * MINUTE);
+    let controls = fleet.members.iter().filter_map(|m| m.control.as_ref());
+    assert_eq!(controls.filter(|c| c.status().watching).count(), 1);
+}
+
 #[test]
 fn no_member_acts_on_an_older_revision() {
     struct Case {
@@ -168,6 +199,7 @@
     let cases = cases![
         platform_down,
         platform_stale,
+        platform_stale_and_peers_slow,
         platform_flapping,
         one_domain_cut_from_platform,
         members_pause,
@@ -175,6 +207,7 @@
         invalid_in_the_middle,
         list_disappears,
         members_die_during_a_change,
+        watching_readers_die,
     ];
     for case in cases {
         for seed in 1..=3 {
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics and status of one node, and the operator port that serves them.
 
+#[path = "support/page.rs"]
+mod page;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,8 +40,6 @@
 use dragonflylead::status::Status;
 use dragonflylead::transport::operator::OperatorPort;
 
-const DOCS_PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/METRICS.md");
-
 fn status() -> Status {
     let level = LevelStatus {
         priority: Priority::Normal,
@@ -84,6 +85,7 @@
             quarantined: 1,
         },
         tokens: 9,
+        ejections: 1,
         pauses: 1,
         objectives: Vec::new(),
         history: Vec::new(),
@@ -111,7 +113,6 @@
     metrics.denied(&service, DeniedReason::Budget);
     metrics.control(Direction::Sent, 100);
     metrics.link(&"sindh".into(), 4_096);
-    metrics.ejected();
     metrics
 }
 
@@ -122,16 +123,7 @@
 
 #[test]
 fn page_lists_all_metrics() {
-    let page = metrics::page();
-    if std::env::var("INSTA_UPDATE").is_ok_and(|v| v == "always") {
-        std::fs::write(DOCS_PAGE, &page).unwrap();
-    }
-    insta::assert_snapshot!(page);
-    let written = std::fs::read_to_string(DOCS_PAGE).unwrap();
-    assert!(
-        written == page,
-        "docs/METRICS.md is out of date; run INSTA_UPDATE=always cargo test --test metrics"
-    );
+    page::assert_page("METRICS.md", &metrics::page());
 }
 
 #[test]
@@ -240,6 +232,7 @@
         side: Side,
         priority: Priority,
         took_ms: u64,
+        error: Option<ErrorKind>,
         want: Option<Counts>,
     }
     let good = Counts {
@@ -248,13 +241,24 @@
         ..Counts::default()
     };
     let late = Counts { good: 0, ..good };
+    let shed = Counts { not_run: 1, ..late };
     let case = |side, priority, took_ms, want| Case {
         side,
         priority,
         took_ms,
+        error: None,
+        want,
+    };
+    let failed = |error: NotRunKind, want| Case {
+        side: Side::Entry,
+        priority: Priority::Critical,
+        took_ms: 1,
+        error: Some(error.into()),
         want,
     };
     let cases = [
+        failed(NotRunKind::Shed, Some(shed)),
+        failed(NotRunKind::TokenRequired, None),
         case(Side::Egress, Priority::Critical, 800, Some(good)),
         case(Side::Entry, Priority::Critical, 801, Some(late)),
         case(Side::Entry, Priority::Low, 5_000, Some(good)),
@@ -275,7 +279,7 @@
             side: case.side,
             service: &"payments".into(),
             priority: case.priority,
-            error: None,
+            error: case.error,
             took: Duration::from_millis(case.took_ms),
         };
         records.ended(&end, &policy, Time::ZERO);
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -92,6 +92,7 @@
         links: Vec::new(),
         poison: PoisonStatus::default(),
         tokens: 9,
+        ejections: 0,
         pauses: 0,
         objectives: vec![
             objective(Priority::Critical, 0.999),
@@ -142,6 +143,14 @@
             ],
             want: Urgency::Soon,
         },
+        Case {
+            name: "a blip of four minutes",
+            loads: vec![
+                load(NOW_MINUTE - 600, NOW_MINUTE - 4, 20, 0),
+                load(NOW_MINUTE - 4, NOW_MINUTE, 20, 2),
+            ],
+            want: Urgency::None,
+        },
         Case {
             name: "burn of six hours",
             loads: vec![load(NOW_MINUTE - 360, NOW_MINUTE, 100, 1)],
