--- a/tests/checker.rs
+++ b/tests/checker.rs
@@ -20,6 +20,7 @@
 const BOUNDS: Bounds = Bounds {
     spare_attempts: 2,
     drain: Duration::from_millis(3),
+    preempt: Duration::from_millis(2),
 };
 
 const CHARGE: CallId = CallId {
@@ -63,6 +64,11 @@
     What::Started { run, call, at }
 }
 
+fn stalled(since: u64) -> What {
+    let since = Duration::from_millis(since);
+    What::Stalled { since }
+}
+
 fn finished(run: u64) -> What {
     let body = run * 100;
     What::Finished { run, body }
@@ -251,6 +257,37 @@
                 lookup: LOOKUP,
             }],
         },
+        Case {
+            name: "a charge dropped beside a lookup, after a stall too early to matter",
+            events: vec![
+                lookup(LOOKUP),
+                started(1, LOOKUP),
+                charge(),
+                stalled(2),
+                lookup(SUB_CALL),
+                started(2, SUB_CALL),
+                told(CHARGE, overloaded),
+                finished(1),
+                told(LOOKUP, Completed(100)),
+            ],
+            broken: vec![Violation::DroppedBeforeLookup {
+                call: CHARGE,
+                lookup: LOOKUP,
+            }],
+        },
+        Case {
+            name: "a charge dropped beside a lookup while the process stalled",
+            events: vec![
+                lookup(LOOKUP),
+                started(1, LOOKUP),
+                charge(),
+                stalled(2),
+                told(CHARGE, overloaded),
+                finished(1),
+                told(LOOKUP, Completed(100)),
+            ],
+            broken: vec![],
+        },
         Case {
             name: "a charge dropped although the lookup was preempted for another",
             events: vec![
