--- a/src/metrics/describe.rs
+++ b/src/metrics/describe.rs
@@ -154,7 +154,7 @@
                 "dragonflylead_control_bytes_total",
                 Counter,
                 &["direction"],
-                "Bytes of messages to and from the platform and other nodes, without calls.",
+                "Bytes of messages to and from the platform and other nodes, without calls and HTTP heads.",
             ),
             Metric::LinkBytes => row(
                 "dragonflylead_link_bytes_total",
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,11 +1,12 @@
 //! Prometheus metrics of one node.
 //!
-//! Each node has a registry of its own. Counters are added to as events happen; gauges are set from
-//! the node's status when they are read.
+//! Each node has a registry of its own. Counters of calls are added to as calls end; all others are
+//! set from the node's status when they are read.
 
 mod describe;
 mod labels;
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use prometheus::HistogramOpts;
@@ -82,6 +83,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    reading: Mutex<()>,
     services: ServiceLabels,
     calls: IntCounterVec,
     errors: IntCounterVec,
@@ -105,6 +107,7 @@
     pub fn new() -> Metrics {
         let registry = Registry::new();
         Metrics {
+            reading: Mutex::new(()),
             services: ServiceLabels::default(),
             calls: counter(&registry, Metric::Calls),
             errors: counter(&registry, Metric::Errors),
@@ -155,13 +158,6 @@
             .inc();
     }
 
-    /// Counts the bytes of a control message.
-    pub fn control(&self, direction: Direction, bytes: u64) {
-        self.control
-            .with_label_values(&[direction.to_string()])
-            .inc_by(bytes);
-    }
-
     /// Counts the bytes of a call to another region.
     pub fn link(&self, region: &RegionName, bytes: u64) {
         self.link_bytes
@@ -171,6 +167,7 @@
 
     /// Returns the Prometheus text, with gauges as in `status`.
     pub fn text(&self, status: &Status) -> String {
+        let _reading = self.reading.lock().unwrap_or_else(|e| e.into_inner());
         self.show(status);
         let mut text = String::new();
         match TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
@@ -202,6 +199,15 @@
         self.ejections.reset();
         let ejections = self.ejections.with_label_values::<&str>(&[]);
         ejections.inc_by(status.ejections);
+        self.control.reset();
+        let directions = [
+            (Direction::Sent, status.control.sent_bytes),
+            (Direction::Received, status.control.received_bytes),
+        ];
+        for (direction, bytes) in directions {
+            let counter = self.control.with_label_values(&[direction.to_string()]);
+            counter.inc_by(bytes);
+        }
         self.show_services(&status.services);
         for link in &status.links {
             let region = link.region.as_str();
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -47,6 +47,8 @@
     pub draining: bool,
     /// Configuration that is in force.
     pub config: ConfigStatus,
+    /// Control messages since the start.
+    pub control: TrafficStatus,
     /// Admission at the own target.
     pub admission: AdmissionStatus,
     /// Services that the target calls.
@@ -78,6 +80,25 @@
     pub age_s: u64,
 }
 
+/// Bytes of control messages, without the heads that HTTP adds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrafficStatus {
+    /// Bytes sent to other nodes and the platform.
+    pub sent_bytes: u64,
+    /// Bytes received from them.
+    pub received_bytes: u64,
+}
+
+impl TrafficStatus {
+    /// Returns the sum of two counts.
+    pub fn plus(self, other: TrafficStatus) -> TrafficStatus {
+        TrafficStatus {
+            sent_bytes: self.sent_bytes + other.sent_bytes,
+            received_bytes: self.received_bytes + other.received_bytes,
+        }
+    }
+}
+
 /// Admission at a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionStatus {
--- a/src/status/own.rs
+++ b/src/status/own.rs
@@ -28,6 +28,7 @@
         ready: node.is_ready(),
         draining: node.gate.is_draining(),
         config: config(node, now),
+        control: node.control().map(|c| c.traffic()).unwrap_or_default(),
         admission: admission(node),
         services: egress::services(&node.dispatcher, now),
         links: egress::links(&node.dispatcher, now),
--- a/src/transport/control.rs
+++ b/src/transport/control.rs
@@ -38,6 +38,7 @@
 use crate::state::fleet::Fleet;
 use crate::state::fleet::FleetTable;
 use crate::state::fleet::Known;
+use crate::status::TrafficStatus;
 use crate::transport::peer::PeerClient;
 use crate::transport::peer::PeerError;
 use crate::transport::peer::PeerHandlers;
@@ -166,6 +167,14 @@
         &self.shared.client
     }
 
+    /// Returns the bytes of control messages since the start.
+    pub fn traffic(&self) -> TrafficStatus {
+        let client = self.shared.client.traffic().total();
+        let server = self.server.traffic().total();
+        let platform = self.shared.platform.traffic().total();
+        client.plus(server).plus(platform)
+    }
+
     /// Returns what the node has and how it stands.
     pub fn status(&self) -> Status {
         self.shared.core.lock().control.status()
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -18,3 +18,4 @@
 pub mod reply;
 pub mod server;
 pub mod told;
+pub mod traffic;
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -33,6 +33,7 @@
 use crate::protocol::peer::PeerReply;
 use crate::protocol::peer::PeerRequest;
 use crate::protocol::peer::Refusal;
+use crate::transport::traffic::Traffic;
 
 /// The only method of the port.
 const METHOD: &str = "peer";
@@ -110,12 +111,14 @@
 pub struct PeerServer {
     address: SocketAddr,
     handle: ServerHandle,
+    traffic: Arc<Traffic>,
 }
 
 struct Port {
     me: Peer,
     keys: Keyring,
     handlers: PeerHandlers,
+    traffic: Arc<Traffic>,
 }
 
 impl PeerServer {
@@ -136,7 +139,13 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let server = Server::builder().set_config(cfg).build_from_tcp(listener)?;
-        let mut module = RpcModule::new(Port { me, keys, handlers });
+        let traffic = Arc::new(Traffic::default());
+        let mut module = RpcModule::new(Port {
+            me,
+            keys,
+            handlers,
+            traffic: traffic.clone(),
+        });
         module
             .register_method(METHOD, |params, port, _| {
                 let signed = params.parse::<(String, &JsonRawValue)>();
@@ -147,9 +156,15 @@
         Ok(PeerServer {
             address,
             handle: server.start(module),
+            traffic,
         })
     }
 
+    /// Returns the counts of the messages that were asked of this node, and of its answers.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Returns the address that the port is bound to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -164,11 +179,14 @@
 
 impl Port {
     fn take(&self, text: &str, signature: &str) -> Result<(String, Box<JsonRawValue>), Refusal> {
+        self.traffic.received(text.len() + signature.len());
         let asked = Envelope::open(text, signature, &self.keys, &self.me.name)?;
         let reply = self.handlers.take(&asked.from, asked.body);
         let to = Some(asked.from.name);
         let reply = Envelope::new(self.me.clone(), to, asked.sequence, reply);
-        Ok(seal(&reply.seal(&self.keys)))
+        let (signature, text) = seal(&reply.seal(&self.keys));
+        self.traffic.sent(text.get().len() + signature.len());
+        Ok((signature, text))
     }
 }
 
@@ -216,6 +234,7 @@
     keys: Keyring,
     sequence: AtomicU64,
     clients: Mutex<Clients>,
+    traffic: Traffic,
 }
 
 #[derive(Default)]
@@ -240,9 +259,15 @@
             keys,
             sequence: AtomicU64::new(1),
             clients: Mutex::default(),
+            traffic: Traffic::default(),
         }
     }
 
+    /// Returns the counts of the messages that this node asked, and of their answers.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Sends a message and returns who answered, and what.
     pub async fn ask(
         &self,
@@ -254,8 +279,10 @@
         let asked = Envelope::new(self.me.clone(), to.cloned(), sequence, request);
         let (signature, text) = seal(&asked.seal(&self.keys));
         let client = self.client(address)?;
+        self.traffic.sent(text.get().len() + signature.len());
         let (signature, text): (String, Box<JsonRawValue>) =
             client.request(METHOD, rpc_params![signature, text]).await?;
+        self.traffic.received(text.get().len() + signature.len());
         let reply: Envelope<PeerReply> =
             Envelope::open(text.get(), &signature, &self.keys, &self.me.name)?;
         if reply.sequence != sequence {
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's interface, a plain HTTP watch. No other module knows it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use reqwest::StatusCode;
@@ -7,6 +8,7 @@
 use serde::Serialize;
 
 use crate::instance::Instance;
+use crate::transport::traffic::Traffic;
 
 /// Largest configuration document that is read, in bytes.
 pub const MAX_CONFIG_BYTES: usize = 2 * 1024 * 1024;
@@ -60,6 +62,7 @@
 pub struct PlatformClient {
     url: String,
     http: reqwest::Client,
+    traffic: Arc<Traffic>,
 }
 
 impl PlatformClient {
@@ -73,9 +76,15 @@
         PlatformClient {
             url: url.trim_end_matches('/').to_owned(),
             http,
+            traffic: Arc::default(),
         }
     }
 
+    /// Returns the counts of the questions to the platform, and of its answers.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Returns the configuration if its revision is above `after`, waiting up to `wait` for it.
     pub async fn config(
         &self,
@@ -107,6 +116,7 @@
     ) -> Result<Option<Vec<u8>>, PlatformError> {
         let wait_ms = wait.as_millis();
         let url = format!("{}/v1/{what}?after={after}&wait_ms={wait_ms}", self.url);
+        self.traffic.sent(url.len());
         let mut resp = self
             .http
             .get(url)
@@ -123,6 +133,7 @@
             if body.len() + chunk.len() > max_bytes {
                 return Err(PlatformError::TooLarge(max_bytes));
             }
+            self.traffic.received(chunk.len());
             body.extend_from_slice(&chunk);
         }
         Ok(Some(body))
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -19,7 +19,6 @@
 use dragonflylead::instance::ServiceName;
 use dragonflylead::metrics;
 use dragonflylead::metrics::CallEnd;
-use dragonflylead::metrics::Direction;
 use dragonflylead::metrics::Metrics;
 use dragonflylead::metrics::Side;
 use dragonflylead::policy::Share;
@@ -38,6 +37,7 @@
 use dragonflylead::status::STATUS_VERSION;
 use dragonflylead::status::ServiceStatus;
 use dragonflylead::status::Status;
+use dragonflylead::status::TrafficStatus;
 use dragonflylead::transport::operator::OperatorPort;
 
 fn status() -> Status {
@@ -61,6 +61,10 @@
             rejected: Some(13),
             age_s: 2,
         },
+        control: TrafficStatus {
+            sent_bytes: 100,
+            received_bytes: 90,
+        },
         admission: AdmissionStatus {
             limit: 80,
             in_flight: 5,
@@ -111,7 +115,6 @@
     }
     metrics.retried(&service, RetryReason::Slow);
     metrics.denied(&service, DeniedReason::Budget);
-    metrics.control(Direction::Sent, 100);
     metrics.link(&"sindh".into(), 4_096);
     metrics
 }
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -30,6 +30,7 @@
 use dragonflylead::status::STATUS_VERSION;
 use dragonflylead::status::ServiceStatus;
 use dragonflylead::status::Status;
+use dragonflylead::status::TrafficStatus;
 use dragonflylead::status::glance::Glance;
 use dragonflylead::transport::operator::OperatorPort;
 
@@ -82,6 +83,10 @@
             rejected: None,
             age_s: 2,
         },
+        control: TrafficStatus {
+            sent_bytes: 100,
+            received_bytes: 90,
+        },
         admission: AdmissionStatus {
             limit: 80,
             in_flight: 5,
