--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -32,6 +32,7 @@
 pub use crate::coordination::plan::Attempt;
 pub use crate::coordination::plan::Call;
 pub use crate::coordination::plan::DeniedReason;
+pub use crate::coordination::plan::Lease;
 pub use crate::coordination::plan::Plan;
 pub use crate::coordination::plan::RetryReason;
 
@@ -52,6 +53,8 @@
     pub second_attempt: bool,
     /// Whether the retries that a service sees are bounded by its successes.
     pub allowance: bool,
+    /// Part of the spare attempts that goes down with an attempt.
+    pub lease: Lease,
     /// Extra attempts of each hop, in place of the budget of the request.
     pub extra_per_hop: Option<u32>,
 }
@@ -63,6 +66,7 @@
             shed_early: true,
             second_attempt: true,
             allowance: true,
+            lease: Lease::default(),
             extra_per_hop: None,
         }
     }
@@ -278,9 +282,12 @@
     fn send(&self, tables: &mut Tables, plan: &mut Plan, pick: Pick, now: Time) -> Step {
         let usual = tables.router.usual_longest(plan.service());
         let patience = usual.map_or(Duration::MAX, |usual| usual.max(MIN_PATIENCE));
-        let alone = self.cfg.extra_per_hop.is_some();
+        let lease = match self.cfg.extra_per_hop {
+            Some(_) => Lease::Nothing,
+            None => self.cfg.lease,
+        };
         tables.router.sent(&pick, now);
-        Step::Send(Box::new(plan.open(pick, patience, alone, now)))
+        Step::Send(Box::new(plan.open(pick, patience, lease, now)))
     }
 }
 
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -51,6 +51,31 @@
     Instance,
 }
 
+/// Part of the spare attempts that goes down with an attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lease {
+    /// None.
+    Nothing,
+    /// Half, rounded down.
+    LesserHalf,
+    /// Half, rounded up.
+    #[default]
+    GreaterHalf,
+    /// All.
+    Everything,
+}
+
+impl Lease {
+    fn of(self, left: u32) -> u32 {
+        match self {
+            Lease::Nothing => 0,
+            Lease::LesserHalf => left / 2,
+            Lease::GreaterHalf => left.div_ceil(2),
+            Lease::Everything => left,
+        }
+    }
+}
+
 /// One attempt at a call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
@@ -211,15 +236,11 @@
     /// Opens an attempt, which uses a spare one unless it is the first.
     ///
     /// `patience` is the time after which a second may start beside it. Of the spare attempts that
-    /// are left, half stay here and the others go down with the attempt, as its lease; with `alone`
-    /// all stay here.
-    pub fn open(&mut self, pick: Pick, patience: Duration, alone: bool, now: Time) -> Attempt {
+    /// are left, `lease` says how many go down with the attempt; the others stay here.
+    pub fn open(&mut self, pick: Pick, patience: Duration, lease: Lease, now: Time) -> Attempt {
         let reason = self.reason();
         self.left -= u32::from(reason.is_some());
-        let lease = match alone {
-            true => 0,
-            false => self.left.div_ceil(2),
-        };
+        let lease = lease.of(self.left);
         self.left -= lease;
         let number = self.sent;
         self.sent += 1;
--- /dev/null
+++ b/tests/weighed_leases.rs
@@ -0,0 +1,177 @@
+//! Figures for docs/design/routing.md: which part of the spare attempts goes down with an attempt.
+//! Run with `cargo test --test weighed_leases`.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use dragonflylead::CallContext;
+use dragonflylead::NotRunKind;
+use dragonflylead::Priority;
+use dragonflylead::RequestId;
+use dragonflylead::Time;
+use dragonflylead::UnknownKind;
+use dragonflylead::coordination::dispatch::Attempt;
+use dragonflylead::coordination::dispatch::Call;
+use dragonflylead::coordination::dispatch::DispatchConfig;
+use dragonflylead::coordination::dispatch::Dispatcher;
+use dragonflylead::coordination::dispatch::Lease;
+use dragonflylead::coordination::dispatch::Report;
+use dragonflylead::coordination::dispatch::Step;
+use dragonflylead::coordination::routing::Home;
+use dragonflylead::instance::Instance;
+use dragonflylead::instance::InstanceName;
+use dragonflylead::instance::InstanceState;
+use dragonflylead::instance::ServiceName;
+use dragonflylead::state::calls::Calls;
+use dragonflylead::state::calls::SubCall;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const REQUESTS: u32 = 2_000;
+const SPARE: u32 = 3;
+const NOW: Time = Time::ZERO;
+
+/// A chain of calls in which attempts are refused or their answers lost.
+struct Chain {
+    dispatcher: Dispatcher,
+    rng: ChaCha8Rng,
+    depth: u8,
+    refused: f64,
+    lost: f64,
+    attempts: u64,
+}
+
+impl Chain {
+    fn new(lease: Lease, depth: u8, refused: f64, lost: f64) -> Chain {
+        let home = Home {
+            instance: "own".into(),
+            domain: "d1".into(),
+            region: "r1".into(),
+        };
+        let mut cfg = DispatchConfig {
+            lease,
+            allowance: false,
+            ..DispatchConfig::default()
+        };
+        cfg.routing.ejection.enabled = false;
+        let dispatcher = Dispatcher::new(home, cfg, NOW);
+        let instance = |i: usize| Instance {
+            name: InstanceName::new(&format!("payments-{i}")),
+            service: "payments".into(),
+            domain: "d1".into(),
+            region: "r1".into(),
+            ingress: "127.0.0.1:1".parse().unwrap(),
+            peer: "127.0.0.1:2".parse().unwrap(),
+            state: InstanceState::Live,
+        };
+        dispatcher.sync(&(0..4).map(instance).collect::<Vec<_>>(), NOW);
+        Chain {
+            dispatcher,
+            rng: ChaCha8Rng::seed_from_u64(9),
+            depth,
+            refused,
+            lost,
+            attempts: 0,
+        }
+    }
+
+    /// Makes a call. Returns whether it succeeded, and the spare attempts that it used.
+    fn call(&mut self, context: &CallContext) -> (bool, u32) {
+        let call = Call {
+            service: &ServiceName::new("payments"),
+            context,
+            cross_region: true,
+            not_to: None,
+        };
+        let mut plan = self.dispatcher.begin(&call, NOW);
+        while let Step::Send(attempt) = self.dispatcher.step(&mut plan, NOW, &mut self.rng) {
+            let report = self.attempt(&attempt);
+            self.dispatcher.ended(&mut plan, &attempt, &report, NOW);
+            if let Ok(status) = report.result {
+                return (status == 200, plan.used());
+            }
+        }
+        (false, plan.used())
+    }
+
+    /// Runs an attempt. A target whose sub-call failed answers with an error of its own, which is a
+    /// whole answer and is not followed by another attempt.
+    fn attempt(&mut self, attempt: &Attempt) -> Report<'static> {
+        let report = |result, spent| Report {
+            result,
+            spent,
+            level: None,
+            took: Duration::from_millis(5),
+            bytes: 100,
+        };
+        if self.rng.random_bool(self.refused) {
+            return report(Err(NotRunKind::Overloaded.into()), Some(0));
+        }
+        self.attempts += 1;
+        let mut calls = Calls::new();
+        let deadline = Time::from_millis(2_000);
+        let context = attempt.context.clone();
+        let id = calls.begin(context, deadline, &mut self.rng).unwrap();
+        let mut status = 200;
+        if attempt.context.depth < self.depth {
+            let sub_call = SubCall {
+                idempotent: true,
+                timeout: Duration::from_secs(2),
+                want: SPARE,
+            };
+            let lease = calls.lease(NOW, id, &sub_call).unwrap();
+            let (good, used) = self.call(&lease.context);
+            calls.give_back(lease.id, lease.context.spare.saturating_sub(used));
+            status = if good { 200 } else { 500 };
+        }
+        let spent = calls.end(NOW, id).map(|ended| ended.spent);
+        if self.rng.random_bool(self.lost) {
+            return report(Err(UnknownKind::ConnectionLost.into()), None);
+        }
+        report(Ok(status), spent)
+    }
+
+    /// Returns the whole requests in percent, and the attempts that ran for each.
+    fn run(mut self) -> (f64, f64) {
+        let context = CallContext {
+            request: RequestId(5),
+            priority: Priority::Low,
+            idempotent: true,
+            remaining: Duration::from_secs(2),
+            spare: SPARE,
+            depth: 0,
+            moved: false,
+        };
+        let whole = (0..REQUESTS).filter(|_| self.call(&context).0).count();
+        let share = whole as f64 * 100.0 / f64::from(REQUESTS);
+        (share, self.attempts as f64 / f64::from(REQUESTS))
+    }
+}
+
+#[test]
+fn leases() {
+    let mut table = String::new();
+    let leases = [
+        Lease::Nothing,
+        Lease::LesserHalf,
+        Lease::GreaterHalf,
+        Lease::Everything,
+    ];
+    for (depth, refused, lost) in [
+        (3, 0.1, 0.0),
+        (3, 0.0, 0.03),
+        (19, 0.03, 0.0),
+        (19, 0.0, 0.01),
+    ] {
+        for lease in leases {
+            let (whole, attempts) = Chain::new(lease, depth, refused, lost).run();
+            let _ = writeln!(
+                table,
+                "| {} | {refused} | {lost} | {lease:?} | {whole:.1}% | {attempts:.2} |",
+                depth + 1
+            );
+        }
+    }
+    insta::assert_snapshot!(table);
+}
