The process test withholds the answer until the node drains, in place of a span of time

Cause: on a busy machine the slow answer had ended before the test looked for a refusal. The stand-in now keeps the second half back until it is told to go on.

--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -15,6 +15,7 @@
 use rocket::http::Status;
 use rocket::route::Handler;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio_util::io::StreamReader;
 
 use crate::protocol::header;
@@ -52,6 +53,8 @@
     pub answer_bytes: usize,
     /// Time between the parts of a streamed answer, zero for one that is sent at once.
     pub stream_gap: Duration,
+    /// Whether the second half of every answer waits for [`TargetStandin::release`].
+    pub withhold: bool,
     /// Whether every answer breaks off half-way.
     pub truncate: bool,
     /// Whether every request is refused before it runs.
@@ -66,6 +69,7 @@
             sub_calls: Vec::new(),
             answer_bytes: 0,
             stream_gap: Duration::ZERO,
+            withhold: false,
             truncate: false,
             refuse: false,
         }
@@ -88,6 +92,7 @@
     slots: Semaphore,
     runs: Mutex<Vec<Run>>,
     egress: Mutex<Option<SocketAddr>>,
+    released: watch::Sender<bool>,
     client: reqwest::Client,
     name: String,
 }
@@ -115,6 +120,7 @@
             behaviour: Mutex::new(behaviour),
             runs: Mutex::default(),
             egress: Mutex::default(),
+            released: watch::Sender::new(false),
             client: forward::client()?,
             name: name.to_owned(),
         });
@@ -154,6 +160,11 @@
         counts
     }
 
+    /// Lets the withheld halves of answers go.
+    pub fn release(&self) {
+        self.shared.released.send_replace(true);
+    }
+
     /// Stops the stand-in.
     pub async fn stop(self) {
         self.server.stop().await;
@@ -213,7 +224,7 @@
         if let Some(run) = lock(&self.runs).get_mut(index) {
             run.answer = Some(text.clone());
         }
-        respond(&behaviour, text)
+        respond(&behaviour, text, self.released.subscribe())
     }
 
     fn note_start(&self, call: &str, operation: &str) -> usize {
@@ -277,7 +288,11 @@
         .finalize()
 }
 
-fn respond<'r>(behaviour: &Behaviour, mut text: String) -> Response<'r> {
+fn respond<'r>(
+    behaviour: &Behaviour,
+    mut text: String,
+    released: watch::Receiver<bool>,
+) -> Response<'r> {
     let padding = behaviour
         .answer_bytes
         .min(MAX_ANSWER_BYTES)
@@ -286,7 +301,8 @@
     let mut response = Response::new();
     response.set_status(Status::Ok);
     response.set_raw_header("content-type", "text/plain");
-    if !behaviour.truncate && behaviour.stream_gap.is_zero() {
+    let in_parts = behaviour.truncate || behaviour.withhold || !behaviour.stream_gap.is_zero();
+    if !in_parts {
         response.set_sized_body(text.len(), io::Cursor::new(text));
         return response;
     }
@@ -300,9 +316,17 @@
     if behaviour.truncate {
         response.set_raw_header("content-length", text.len().to_string());
     }
-    let parts = futures_util::stream::iter([first, second]).then(move |part| async move {
-        tokio::time::sleep(gap).await;
-        part
+    let withheld = [false, behaviour.withhold];
+    let parts = futures_util::stream::iter([first, second].into_iter().zip(withheld));
+    let parts = parts.then(move |(part, withheld)| {
+        let mut released = released.clone();
+        async move {
+            tokio::time::sleep(gap).await;
+            if withheld {
+                let _ = released.wait_for(|released| *released).await;
+            }
+            part
+        }
     });
     response.set_streamed_body(StreamReader::new(Box::pin(parts)));
     response
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -26,6 +26,9 @@
 pastures = slots=8 connections=64 # racks
 ";
 
+/// Time for one try; a call that is admitted while the node does not drain yet has no end.
+const TRY: Duration = Duration::from_millis(200);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_passes_two_processes_and_shutdown_cuts_nothing() {
     let dir = tempfile::tempdir().unwrap();
@@ -37,7 +40,6 @@
         path: "/rights/7".to_owned(),
     };
     let slow = Behaviour {
-        stream_gap: Duration::from_secs(2),
         answer_bytes: 600_000,
         sub_calls: vec![("/animals".to_owned(), rights)],
         ..Behaviour::default()
@@ -71,18 +73,25 @@
 
     let url = format!("http://{}/animals/2", registry.ingress);
     let client = reqwest::Client::new();
+    first.change(|behaviour| {
+        behaviour.withhold = true;
+        behaviour.service_time = Duration::ZERO;
+    });
     let in_progress = client.get(&url).send().await.unwrap();
     assert_eq!(in_progress.headers()[header::OUTCOME], "completed");
     registry.terminate();
     let refused = tokio::time::timeout(common::PATIENCE, async {
         loop {
-            let answer = client.get(&url).send().await.unwrap();
+            let Ok(answer) = client.get(&url).timeout(TRY).send().await else {
+                continue;
+            };
             if answer.headers()[header::OUTCOME] == "not-run" {
                 break answer.headers()[header::ERROR].to_str().unwrap().to_owned();
             }
         }
     });
     assert_eq!(refused.await.unwrap(), "draining");
+    first.release();
     assert_eq!(in_progress.bytes().await.unwrap().len(), 600_000);
     assert!(registry.child.wait().unwrap().success());
 }
