Get the answer of a charge after its connection was lost, and fetch tokens ahead

Caller gave up on a charge whose answer was lost, though the entry keeps it. It sends the charge again with the same token to the same entry now, and gets the one run's answer (tests/charges.rs: the first answer is hidden, one run, completed). Completed charges carry a token for the next one, so that the usual case needs no extra round trip. A token that was sent once and not accepted proves that the charge was not run; a new one is fetched.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -66,6 +66,20 @@
     pub body: Bytes,
 }
 
+/// A token that a request was sent with, and the entry node that minted it.
+struct SpentToken {
+    entry: SocketAddr,
+    token: String,
+}
+
+/// One sending of a request.
+struct Sent {
+    id: RequestId,
+    attempt: u32,
+    entry: SocketAddr,
+    left: Duration,
+}
+
 /// Sends requests to the entry nodes of one service.
 pub struct Caller {
     entries: Vec<SocketAddr>,
@@ -97,58 +111,92 @@
     }
 
     /// Sends a request, again if its outcome allows it, and returns what became of it.
+    ///
+    /// A non-idempotent request whose answer was lost is sent again with its token to the same
+    /// entry, which runs it once and gives that run's answer.
     pub async fn call(&self, req: &CallRequest<'_>) -> Outcome<CallAnswer> {
         let id = self.new_request_id();
         let started = tokio::time::Instant::now();
-        let mut outcome = self.attempt(req, id, 0, req.timeout).await;
+        let (mut outcome, mut spent) = self.attempt(req, id, 0, req.timeout, None).await;
         for attempt in 1..=self.resends {
             let left = req.timeout.saturating_sub(started.elapsed());
-            if left.is_zero() || !may_resend(&outcome, req.idempotent) {
+            if left.is_zero() || !may_resend(&outcome, spent.is_some(), req.idempotent) {
                 break;
             }
-            outcome = outcome.after(self.attempt(req, id, attempt, left).await);
+            let again = spent.filter(|_| matches!(outcome, Outcome::Unknown(_)));
+            let (later, token) = self.attempt(req, id, attempt, left, again).await;
+            outcome = outcome.after(later);
+            spent = token;
         }
         outcome
     }
 
+    /// Sends a request to an entry node, and returns the token that it spent there.
     async fn attempt(
         &self,
         req: &CallRequest<'_>,
         id: RequestId,
         attempt: u32,
         left: Duration,
-    ) -> Outcome<CallAnswer> {
-        let entry = self.entries[self.next.fetch_add(1, Ordering::Relaxed) % self.entries.len()];
-        let token = self.take_token(entry, req.idempotent);
-        let had_token = token.is_some();
-        let (outcome, offered) = self.send(req, entry, id, attempt, token, left).await;
-        let without_token = outcome == Outcome::NotRun(NotRunKind::TokenRequired);
-        if let (true, false, Some(token)) = (without_token, had_token, &offered) {
-            let (outcome, offered) = self
-                .send(req, entry, id, attempt, Some(token.clone()), left)
-                .await;
-            self.keep_token(entry, offered);
-            return outcome;
-        }
-        self.keep_token(entry, offered);
-        outcome
+        again: Option<SpentToken>,
+    ) -> (Outcome<CallAnswer>, Option<SpentToken>) {
+        let fresh = again.is_none();
+        let entry = again
+            .as_ref()
+            .map_or_else(|| self.next_entry(), |a| a.entry);
+        let token = match again {
+            Some(spent) => Some(spent.token),
+            None => self.take_token(entry, req.idempotent),
+        };
+        let sent = Sent {
+            id,
+            attempt,
+            entry,
+            left,
+        };
+        let (outcome, offered) = self.send(req, &sent, token.as_deref()).await;
+        let (outcome, token) = match fresh && was_not_accepted(&outcome) {
+            false => {
+                self.keep_token(entry, offered);
+                (outcome, token)
+            }
+            true => self.with_new_token(req, &sent, offered).await,
+        };
+        (outcome, token.map(|token| SpentToken { entry, token }))
+    }
+
+    /// Sends a request whose token the entry did not accept, or that had none, with a new one.
+    async fn with_new_token(
+        &self,
+        req: &CallRequest<'_>,
+        sent: &Sent,
+        offered: Option<String>,
+    ) -> (Outcome<CallAnswer>, Option<String>) {
+        let token = match offered {
+            Some(token) => token,
+            None => match self.send(req, sent, None).await {
+                (_, Some(token)) => token,
+                (outcome, None) => return (outcome, None),
+            },
+        };
+        let (outcome, offered) = self.send(req, sent, Some(&token)).await;
+        self.keep_token(sent.entry, offered);
+        (outcome, Some(token))
     }
 
     async fn send(
         &self,
         req: &CallRequest<'_>,
-        entry: SocketAddr,
-        id: RequestId,
-        attempt: u32,
-        token: Option<String>,
-        left: Duration,
+        sent: &Sent,
+        token: Option<&str>,
     ) -> (Outcome<CallAnswer>, Option<String>) {
+        let Sent { entry, left, .. } = *sent;
         let mut builder = self
             .client
             .request(req.method.clone(), format!("http://{entry}{}", req.path))
             .headers(req.headers.clone())
-            .header(header::REQUEST_ID, id.to_string())
-            .header(header::ATTEMPT, attempt)
+            .header(header::REQUEST_ID, sent.id.to_string())
+            .header(header::ATTEMPT, sent.attempt)
             .header(header::TIMEOUT_MS, left.as_millis().to_string());
         if let Some(token) = token {
             builder = builder.header(header::TOKEN, token);
@@ -166,6 +214,10 @@
         }
     }
 
+    fn next_entry(&self) -> SocketAddr {
+        self.entries[self.next.fetch_add(1, Ordering::Relaxed) % self.entries.len()]
+    }
+
     fn new_request_id(&self) -> RequestId {
         let mut rng = lock(&self.rng);
         RequestId(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
@@ -190,14 +242,30 @@
     }
 }
 
-fn may_resend(outcome: &Outcome<CallAnswer>, idempotent: bool) -> bool {
+/// Returns whether a request may be sent again; with a spent token, its copy gets the same run.
+fn may_resend(outcome: &Outcome<CallAnswer>, with_token: bool, idempotent: bool) -> bool {
     match outcome {
         Outcome::Completed(_) => false,
+        Outcome::NotRun(NotRunKind::NoInstance) => true,
         Outcome::NotRun(kind) => ErrorKind::NotRun(*kind).try_other(),
-        Outcome::Unknown(kind) => idempotent && ErrorKind::Unknown(*kind).try_other(),
+        Outcome::Unknown(UnknownKind::InProgress) => with_token,
+        Outcome::Unknown(kind) => {
+            (idempotent || with_token) && ErrorKind::Unknown(*kind).try_other()
+        }
     }
 }
 
+/// Returns whether the entry did not accept the token of a request that was sent once.
+///
+/// As no other copy was sent with the token, the request was not run, whatever the entry knows.
+fn was_not_accepted(outcome: &Outcome<CallAnswer>) -> bool {
+    matches!(
+        outcome,
+        Outcome::NotRun(NotRunKind::TokenRequired | NotRunKind::TokenBurned)
+            | Outcome::Unknown(UnknownKind::TokenForeign | UnknownKind::TokenExpired)
+    )
+}
+
 fn whole(outcome: Outcome<Answer>) -> Outcome<CallAnswer> {
     match outcome {
         Outcome::Completed(answer) => match answer.body {
--- a/src/node.rs
+++ b/src/node.rs
@@ -378,6 +378,13 @@
         }
     }
 
+    /// Mints an idempotency token that goes with an answer, for the caller's next call.
+    pub fn mint(&self) -> Option<String> {
+        let now = self.clock.now();
+        let token = self.with_rng(|rng| self.gate.mint(now, rng)).ok()?;
+        Some(token.to_string())
+    }
+
     /// Runs what is due. Returns whether the process was paused before.
     pub fn tick(&self) -> bool {
         let mut effects = Vec::new();
--- a/src/transport/incoming.rs
+++ b/src/transport/incoming.rs
@@ -34,6 +34,13 @@
     pub cross_region: bool,
 }
 
+impl Incoming {
+    /// Returns whether calls like this need an idempotency token.
+    pub fn spends_tokens(&self) -> bool {
+        matches!(self.source, Source::Caller { .. }) && !self.context.idempotent
+    }
+}
+
 /// Reads the head of a call, from a caller or another node.
 ///
 /// # Errors
--- a/src/transport/ingress.rs
+++ b/src/transport/ingress.rs
@@ -182,7 +182,7 @@
         () = tokio::time::sleep(left) => Outcome::Unknown(UnknownKind::Deadline),
     };
     match outcome {
-        Outcome::Completed(answer) => Ok(pass_on(guard, answer, pump, deadline, connection)),
+        Outcome::Completed(answer) => Ok(pass_on(guard, call, answer, pump, deadline, connection)),
         Outcome::NotRun(kind) => {
             let refused = refused_by_target(kind).into();
             move_sideways(guard, call, again, refused, connection).await
@@ -220,6 +220,7 @@
 /// Hands an answer on; a streamed one ends its call when it ends.
 fn pass_on<'r>(
     guard: RunGuard,
+    call: &Incoming,
     mut answer: Answer,
     pump: Option<outgoing::Pump<'r>>,
     deadline: Time,
@@ -241,7 +242,11 @@
         }
     };
     let pump = pump.map(|pump| pump.boxed());
-    reply::completed(answer, &node.notes(spent), pump, connection)
+    let mut notes = node.notes(spent);
+    if call.spends_tokens() {
+        notes.token = node.mint();
+    }
+    reply::completed(answer, &notes, pump, connection)
 }
 
 fn streamed_outcome(end: StreamEnd) -> Outcome<Option<KeptAnswer>> {
@@ -314,7 +319,7 @@
     };
     let deadline = node.clock.now().plus(moved.remaining);
     match egress::send_call(&node, &out).await.0 {
-        Outcome::Completed(answer) => Ok(pass_on(guard, answer, None, deadline, connection)),
+        Outcome::Completed(answer) => Ok(pass_on(guard, call, answer, None, deadline, connection)),
         Outcome::NotRun(_) => Err(guard.refuse_with(refused)),
         Outcome::Unknown(kind) => Err(guard.refuse(kind.into())),
     }
--- a/tests/charges.rs
+++ b/tests/charges.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dragonflylead::Outcome;
+use dragonflylead::caller::CallRequest;
+use dragonflylead::caller::Caller;
 use dragonflylead::protocol::header;
 use dragonflylead::standin::fleet::Fleet;
 use dragonflylead::standin::fleet::FleetSpec;
@@ -10,7 +13,9 @@
 use dragonflylead::standin::fleet::ServiceSpec;
 use dragonflylead::standin::target::Behaviour;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 const POLICY: &str = "\
 [calls]
@@ -180,3 +185,46 @@
     assert_eq!(unreachable.outcome, "not-run");
     fleet.stop().await;
 }
+
+/// Passes connections on to an entry node, but hides the first answer of a run.
+async fn hide_first_answer(listener: TcpListener, entry: SocketAddr) {
+    let mut hidden = false;
+    loop {
+        let (mut outer, _) = listener.accept().await.unwrap();
+        let mut inner = TcpStream::connect(entry).await.unwrap();
+        let mut buf = vec![0; 64 * 1024];
+        let read = outer.read(&mut buf).await.unwrap();
+        inner.write_all(&buf[..read]).await.unwrap();
+        let read = inner.read(&mut buf).await.unwrap();
+        let completed = buf[..read].windows(10).any(|part| part == b" completed");
+        if completed && !hidden {
+            hidden = true;
+            continue;
+        }
+        outer.write_all(&buf[..read]).await.unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_whose_answer_was_lost_gets_it_on_asking_again() {
+    let fleet = fleet(Duration::from_millis(2)).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let front = listener.local_addr().unwrap();
+    let proxy = tokio::spawn(hide_first_answer(listener, fleet.entries("payments")[0]));
+    let caller = Caller::new(&[front], 2, 3).unwrap();
+    let mut headers = http::HeaderMap::new();
+    headers.insert("x-op", "wallet-7".parse().unwrap());
+    let charge = CallRequest {
+        method: http::Method::POST,
+        path: "/charge",
+        headers,
+        body: bytes::Bytes::from_static(b"rupees=100"),
+        idempotent: false,
+        timeout: Duration::from_secs(8),
+    };
+    let outcome = caller.call(&charge).await;
+    assert!(matches!(outcome, Outcome::Completed(_)), "{outcome:?}");
+    assert_eq!(runs(&fleet), 1);
+    proxy.abort();
+    fleet.stop().await;
+}
