--- a/tests/control.rs
+++ b/tests/control.rs
@@ -58,6 +58,12 @@
     }
 }
 
+/// The platform answers at once with an old revision, peers answer late with the one in force.
+fn platform_stale_and_peers_slow(fleet: &mut VirtualFleet) {
+    fleet.latency = Duration::from_millis(400);
+    platform_stale(fleet);
+}
+
 fn platform_flapping(fleet: &mut VirtualFleet) {
     fleet.platform = Box::new(|_| Platform::Flapping);
     for revision in 3..13 {
@@ -171,6 +177,14 @@
     assert!(fleet.run(IN_FORCE + WATCHER_SILENCE, |f| f.all_act_on(3)));
 }
 
+#[test]
+fn one_reader_of_a_domain_watches() {
+    let mut fleet = VirtualFleet::new(1, EACH, 1);
+    fleet.run_for(2 * MINUTE);
+    let controls = fleet.members.iter().filter_map(|m| m.control.as_ref());
+    assert_eq!(controls.filter(|c| c.status().watching).count(), 1);
+}
+
 #[test]
 fn no_member_acts_on_an_older_revision() {
     struct Case {
@@ -185,6 +199,7 @@
     let cases = cases![
         platform_down,
         platform_stale,
+        platform_stale_and_peers_slow,
         platform_flapping,
         one_domain_cut_from_platform,
         members_pause,
