--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -1,5 +1,7 @@
 //! A node as a process of its own.
 
+#![allow(dead_code)]
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -19,6 +21,7 @@
     pub(crate) ingress: SocketAddr,
     pub(crate) egress: SocketAddr,
     pub(crate) peer: SocketAddr,
+    pub(crate) operator: SocketAddr,
 }
 
 impl NodeProcess {
@@ -52,6 +55,7 @@
             ingress: port("ingress"),
             egress: port("egress"),
             peer: port("peer"),
+            operator: port("operator"),
         }
     }
 
@@ -70,8 +74,13 @@
 
     /// Tells the node to terminate.
     pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, Signal::TERM).unwrap();
+        rustix::process::kill_process(pid, signal).unwrap();
     }
 }
 
--- /dev/null
+++ b/tests/paused.rs
@@ -0,0 +1,102 @@
+//! A node process that is paused and wakes with an old view of the fleet.
+
+mod common;
+#[path = "common/process.rs"]
+mod process;
+
+use std::time::Duration;
+
+use dragonflylead::Outcome;
+use dragonflylead::caller::Caller;
+use dragonflylead::standin::platform::PlatformStandin;
+use dragonflylead::standin::target::Behaviour;
+use dragonflylead::standin::target::SubCall;
+use dragonflylead::standin::target::TargetStandin;
+use dragonflylead::timer::PAUSE_GAP;
+use http::Method;
+use process::NodeProcess;
+use rustix::process::Signal;
+
+const POLICY: &str = "\
+[calls]
+scan = GET registry /* priority=normal idempotent=yes timeout=20s retries=2 # vet desk
+rights = GET pastures /* priority=normal idempotent=yes timeout=20s retries=2 # vet desk
+
+[services]
+registry = slots=8 connections=64 # racks
+pastures = slots=8 connections=64 # racks
+";
+
+/// The fault itself: how long the process is stopped.
+const PAUSE: Duration = PAUSE_GAP.saturating_mul(3);
+
+/// Sends lookups until one is answered whole and well.
+async fn completes(caller: &Caller, operation: &str) {
+    let whole = async {
+        loop {
+            let outcome = caller.call(&common::lookup("/animals/1", operation)).await;
+            if matches!(outcome, Outcome::Completed(answer) if answer.status == 200) {
+                break;
+            }
+        }
+    };
+    tokio::time::timeout(common::PATIENCE, whole).await.unwrap();
+}
+
+async fn pauses(node: &NodeProcess) -> u64 {
+    let url = format!("http://{}/status", node.operator);
+    let status = reqwest::get(url).await.unwrap().bytes().await.unwrap();
+    let status: serde_json::Value = serde_json::from_slice(&status).unwrap();
+    status["pauses"].as_u64().unwrap()
+}
+
+async fn pastures() -> TargetStandin {
+    TargetStandin::start("pastures", Behaviour::default())
+        .await
+        .unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_wakes_with_an_old_view_finds_the_new_one() {
+    let dir = tempfile::tempdir().unwrap();
+    let platform = PlatformStandin::start().await.unwrap();
+    platform.set_config(1, POLICY);
+    let rights = SubCall {
+        method: Method::GET,
+        service: "pastures".to_owned(),
+        path: "/rights/7".to_owned(),
+    };
+    let behaviour = Behaviour {
+        sub_calls: vec![("/animals".to_owned(), rights)],
+        ..Behaviour::default()
+    };
+    let target = TargetStandin::start("registry", behaviour).await.unwrap();
+    let (before, after) = (pastures().await, pastures().await);
+    let start = |name: &str, target| NodeProcess::start(dir.path(), name, target, platform.url());
+    let registry = start("registry-1", target.address());
+    let mut old = start("pastures-1", before.address());
+    target.set_egress(registry.egress);
+    platform.set_instances(vec![
+        registry.instance("registry-1"),
+        old.instance("pastures-1"),
+    ]);
+    let caller = Caller::new(&[registry.ingress], 0, 3).unwrap();
+    completes(&caller, "before").await;
+    assert_eq!(before.run_counts()["before"], 1);
+
+    registry.signal(Signal::STOP);
+    let new = start("pastures-2", after.address());
+    old.terminate();
+    assert!(old.child.wait().unwrap().success());
+    platform.set_instances(vec![
+        registry.instance("registry-1"),
+        new.instance("pastures-2"),
+    ]);
+    tokio::time::sleep(PAUSE).await;
+    registry.signal(Signal::CONT);
+
+    completes(&caller, "after").await;
+    assert!(after.run_counts()["after"] >= 1);
+    assert!(!before.run_counts().contains_key("after"));
+    assert!(pauses(&registry).await >= 1);
+}
