End the open attempts of a call that is dropped

Cause: a cancelled sub-call drops its attempts, and the router counted them as unanswered for good: the cost of the instance grew with each, and a probe of an ejected instance that was cancelled stayed open, so that no other probe followed. The plan of a call now ends its open attempts when it is dropped. The cancel test waits for the count to return to zero: without the change it did not end in 40 s, with it it passes.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -198,8 +198,11 @@
 
     /// Takes note that the attempts of a call that are still open are withdrawn.
     ///
-    /// Returns the instances that they went to, which are to be told.
+    /// Returns the instances that they went to.
     pub fn abandon(&self, plan: &mut Plan, now: Time) -> Vec<Instance> {
+        if !plan.is_open() {
+            return Vec::new();
+        }
         let mut tables = self.tables.lock();
         let seen = Observation::of(Verdict::Abandoned, Duration::ZERO);
         plan.abandon()
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -185,6 +185,19 @@
     ended
 }
 
+/// The attempts of a call; those that are open when it is dropped are withdrawn.
+struct Attempts<'a> {
+    node: &'a Node,
+    plan: Plan,
+}
+
+impl Drop for Attempts<'_> {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        self.node.dispatcher.abandon(&mut self.plan, now);
+    }
+}
+
 /// Sends a call, with as many attempts as its context allows.
 ///
 /// Returns the outcome and the spare attempts used.
@@ -195,11 +208,13 @@
         cross_region: out.cross_region,
         not_to: out.not_to,
     };
-    let mut plan = node.dispatcher.begin(&call, node.clock.now());
+    let plan = node.dispatcher.begin(&call, node.clock.now());
+    let mut attempts = Attempts { node, plan };
+    let plan = &mut attempts.plan;
     let mut open = FuturesUnordered::new();
     let mut so_far: Option<Outcome<Answer>> = None;
     loop {
-        match node.next_step(&mut plan) {
+        match node.next_step(plan) {
             Step::Send(attempt) => {
                 if let Some(reason) = attempt.reason {
                     node.records.metrics.retried(out.service, reason);
@@ -211,13 +226,12 @@
                 let Some(ended) = next_within(&mut open, wait).await else {
                     continue;
                 };
-                note(node, &mut plan, &ended);
+                note(node, plan, &ended);
                 let outcome = match so_far.take() {
                     None => ended.outcome,
                     Some(earlier) => earlier.after(ended.outcome),
                 };
                 if matches!(outcome, Outcome::Completed(_)) {
-                    node.dispatcher.abandon(&mut plan, node.clock.now());
                     return (outcome, plan.used());
                 }
                 so_far = Some(outcome);
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -4,6 +4,7 @@
 
 use dragonflylead::RequestId;
 use dragonflylead::UnknownKind;
+use dragonflylead::coordination::routing::Router;
 use dragonflylead::protocol::header;
 use dragonflylead::standin::fleet::Fleet;
 use dragonflylead::standin::fleet::FleetSpec;
@@ -75,6 +76,14 @@
     member.node.node().gate.is_idle()
 }
 
+/// Returns the sub-calls that the node's router holds for unanswered.
+fn sub_calls_in_flight(member: &Member) -> u32 {
+    let node = member.node.node();
+    let now = node.clock.now();
+    let targets = |router: &Router| router.targets(now).map(|t| t.in_flight).sum();
+    node.dispatcher.view(|router, _| targets(router))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cancelled_request_stops_its_sub_calls() {
     struct Case {
@@ -113,6 +122,7 @@
         node.waiters.stop(stop[0], UnknownKind::Cancelled);
         assert_eq!(request.await.unwrap(), "cancelled", "{}", case.name);
         until(|| is_idle(registry) && is_idle(pastures)).await;
+        until(|| sub_calls_in_flight(registry) == 0).await;
         let answered = pastures.target.runs()[0].answer.is_some();
         assert_eq!(answered, case.runs_on, "{}", case.name);
         fleet.stop().await;
