--- a/src/coordination/gate/intake.rs
+++ b/src/coordination/gate/intake.rs
@@ -8,6 +8,7 @@
 use crate::coordination::level::Level;
 use crate::coordination::level::LevelControl;
 use crate::coordination::level::LevelReport;
+use crate::coordination::token::TokenLimits;
 
 /// Parts of the ingress decisions that can be switched off for a comparison.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     pub levels: bool,
     /// Whether copies of an idempotent request share a run.
     pub joins: bool,
+    /// Bounds on tokens and kept answers.
+    pub tokens: TokenLimits,
 }
 
 impl GateConfig {
@@ -27,6 +30,7 @@
             admission: AdmissionConfig::full(slots),
             levels: true,
             joins: true,
+            tokens: TokenLimits::default(),
         }
     }
 }
--- a/src/coordination/gate/mod.rs
+++ b/src/coordination/gate/mod.rs
@@ -91,7 +91,7 @@
         size: fn(&A) -> usize,
         now: Time,
     ) -> Gate<A> {
-        let tokens = Tokens::new(instance, incarnation);
+        let tokens = Tokens::new(instance, incarnation, cfg.tokens);
         Gate {
             pause: Table::new(Rank::Fleet, PauseGuard::new()),
             held: Table::new(Rank::Calls, Held::default()),
--- a/src/coordination/token.rs
+++ b/src/coordination/token.rs
@@ -26,6 +26,27 @@
 /// Time for which the end of a run is remembered, beyond [`SPEND_WITHIN`] or the end of the run.
 pub const ANSWER_KEPT: Duration = Duration::from_secs(120);
 
+/// Bounds on tokens and kept answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenLimits {
+    /// Time within which a minted token can start a run.
+    pub spend_within: Duration,
+    /// Time for which the end of a run is remembered, beyond the former or the end of the run.
+    pub answer_kept: Duration,
+    /// Bytes of answers kept for replay at most.
+    pub kept_bytes: usize,
+}
+
+impl Default for TokenLimits {
+    fn default() -> TokenLimits {
+        TokenLimits {
+            spend_within: SPEND_WITHIN,
+            answer_kept: ANSWER_KEPT,
+            kept_bytes: MAX_KEPT_BYTES,
+        }
+    }
+}
+
 /// Tokens remembered at most.
 pub const MAX_TOKENS: usize = 16_384;
 
@@ -157,6 +178,7 @@
     records: BTreeMap<u64, Record<A>>,
     expiry: BTreeSet<(Time, u64)>,
     kept_bytes: usize,
+    limits: TokenLimits,
 }
 
 impl<A> Tokens<A>
@@ -164,7 +186,11 @@
     A: Clone,
 {
     /// Builds the table of one incarnation of an instance.
-    pub fn new(instance: &InstanceName, incarnation: Incarnation) -> Tokens<A> {
+    pub fn new(
+        instance: &InstanceName,
+        incarnation: Incarnation,
+        limits: TokenLimits,
+    ) -> Tokens<A> {
         Tokens {
             instance: name_hash(instance),
             incarnation,
@@ -172,6 +198,7 @@
             records: BTreeMap::new(),
             expiry: BTreeSet::new(),
             kept_bytes: 0,
+            limits,
         }
     }
 
@@ -191,8 +218,8 @@
         let sequence = self.next;
         self.next += 1;
         let secret = rng.next_u64();
-        let spend_by = now.plus(SPEND_WITHIN);
-        let expires = spend_by.plus(ANSWER_KEPT);
+        let spend_by = now.plus(self.limits.spend_within);
+        let expires = spend_by.plus(self.limits.answer_kept);
         let record = Record {
             secret,
             spend_by,
@@ -251,7 +278,7 @@
         let Some(fingerprint) = self.running(token) else {
             return;
         };
-        if self.kept_bytes + bytes > MAX_KEPT_BYTES {
+        if self.kept_bytes + bytes > self.limits.kept_bytes {
             let state = State::Ended(fingerprint, UnknownKind::AnswerNotKept);
             self.close(now, token, state);
             return;
@@ -317,11 +344,12 @@
     }
 
     fn close(&mut self, now: Time, token: &Token, state: State<A>) {
+        let kept = self.limits.answer_kept;
         let Some(record) = self.record_mut(token) else {
             return;
         };
         record.state = state;
-        record.expires = now.max(record.spend_by).plus(ANSWER_KEPT);
+        record.expires = now.max(record.spend_by).plus(kept);
         let expires = record.expires;
         self.expiry.insert((expires, token.sequence));
     }
--- a/src/measure/setting.rs
+++ b/src/measure/setting.rs
@@ -75,6 +75,7 @@
             admission,
             levels: false,
             joins: false,
+            ..GateConfig::full(admission.slots)
         },
         dispatch: DispatchConfig {
             shed_early: false,
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,7 @@
 use crate::coordination::link::node_share;
 use crate::coordination::poison::CrashReport;
 use crate::coordination::routing::Home;
+use crate::coordination::token::TokenLimits;
 use crate::error::Outcome;
 use crate::error::UnknownKind;
 use crate::instance::DomainName;
@@ -73,6 +74,9 @@
 /// Slots of an instance whose service has no rule.
 const DEFAULT_SLOTS: u32 = 16;
 
+/// Time for which the answer of a spent token is kept, as a multiple of its validity.
+const KEPT_FOR_VALIDITIES: u32 = 2;
+
 /// Which decisions are on. Baselines switch some off.
 #[derive(Clone, Debug)]
 pub struct Decisions {
@@ -164,7 +168,10 @@
             gate: Gate::new(
                 &settings.instance.name,
                 incarnation,
-                decisions.gate,
+                GateConfig {
+                    tokens: token_limits(&settings),
+                    ..decisions.gate
+                },
                 KeptAnswer::bytes,
                 clock.now(),
             ),
@@ -495,3 +502,12 @@
         ..known.instance.clone()
     }
 }
+
+fn token_limits(settings: &Settings) -> TokenLimits {
+    let limits = &settings.limits;
+    TokenLimits {
+        spend_within: limits.token_validity,
+        answer_kept: limits.token_validity * KEPT_FOR_VALIDITIES,
+        kept_bytes: limits.token_memory as usize,
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -74,9 +74,9 @@
     pub request_buffer_bytes: u64,
     /// Largest answer that is held whole before it goes on, in bytes.
     pub answer_buffer_bytes: u64,
-    /// Time for which an idempotency token may be spent.
+    /// Time within which an idempotency token may be spent.
     pub token_validity: Duration,
-    /// Memory for tokens and kept answers, in bytes.
+    /// Memory for answers that are kept for replay, in bytes.
     pub token_memory: u64,
 }
 
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -139,10 +139,10 @@
         "Largest request body that is held to be sent again; a call with a larger one is not retried.";
     ANSWER_BUFFER: ["limits"] "answer-buffer-bytes", Value("256KiB"), Bytes(0, 16 * MIB),
         "Largest answer that is held whole before its first byte goes on; a larger one is streamed.";
-    TOKEN_VALIDITY: ["limits"] "token-validity", Value("5m"), Millis(SECOND, HOUR),
-        "Time for which an idempotency token may be spent and its answer replayed.";
+    TOKEN_VALIDITY: ["limits"] "token-validity", Value("1m"), Millis(SECOND, HOUR),
+        "Time within which an idempotency token may be spent; its answer is kept twice as long.";
     TOKEN_MEMORY: ["limits"] "token-memory", Value("8MiB"), Bytes(64 * KIB, GIB),
-        "Memory for tokens and kept answers; when it is full, no token is issued.";
+        "Memory for answers that are kept for replay; when it is full, an answer is not kept.";
     WORKERS: ["runtime"] "workers", Value("2"), Count(1, 64),
         "Threads that serve calls.";
     LOG_LEVEL: ["log"] "level", Value("info"), Level,
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -17,6 +17,7 @@
 use dragonflylead::coordination::admission::Ticket;
 use dragonflylead::coordination::token::Spend;
 use dragonflylead::coordination::token::Token;
+use dragonflylead::coordination::token::TokenLimits;
 use dragonflylead::coordination::token::Tokens;
 use dragonflylead::instance::Incarnation;
 use dragonflylead::instance::InstanceName;
@@ -44,7 +45,11 @@
 }
 
 fn tokens() -> (Shared<Tokens<u32>>, Token) {
-    let mut tokens = Tokens::new(&InstanceName::new("payments-1"), Incarnation(1));
+    let mut tokens = Tokens::new(
+        &InstanceName::new("payments-1"),
+        Incarnation(1),
+        TokenLimits::default(),
+    );
     let token = tokens
         .mint(NOW, &mut ChaCha12Rng::seed_from_u64(1))
         .unwrap();
--- a/tests/tokens.rs
+++ b/tests/tokens.rs
@@ -13,6 +13,7 @@
 use dragonflylead::coordination::token::SPEND_WITHIN;
 use dragonflylead::coordination::token::Spend;
 use dragonflylead::coordination::token::Token;
+use dragonflylead::coordination::token::TokenLimits;
 use dragonflylead::coordination::token::Tokens;
 use dragonflylead::instance::Incarnation;
 use dragonflylead::instance::InstanceName;
@@ -30,7 +31,11 @@
 }
 
 fn table(incarnation: u64) -> Table {
-    Tokens::new(&InstanceName::new("payments-1"), Incarnation(incarnation))
+    Tokens::new(
+        &InstanceName::new("payments-1"),
+        Incarnation(incarnation),
+        TokenLimits::default(),
+    )
 }
 
 fn refused<K>(kind: K) -> Spend<&'static str>
--- a/tests/weighed_tokens.rs
+++ b/tests/weighed_tokens.rs
@@ -9,6 +9,7 @@
 use dragonflylead::Fingerprint;
 use dragonflylead::Time;
 use dragonflylead::coordination::token::Spend;
+use dragonflylead::coordination::token::TokenLimits;
 use dragonflylead::coordination::token::Tokens;
 use dragonflylead::instance::Incarnation;
 use dragonflylead::instance::InstanceName;
@@ -96,12 +97,12 @@
         let owner = owner_of(key, &view(Fault::AnswerLost, 0));
         let name = InstanceName::new(&owner.to_string());
         let charge = Fingerprint([key as u8; 16]);
-        let mut tokens = Tokens::new(&name, Incarnation(1));
+        let mut tokens = Tokens::new(&name, Incarnation(1), TokenLimits::default());
         let token = tokens.mint(NOW, &mut rng).unwrap();
         assert_eq!(tokens.spend(NOW, &token, charge), Spend::Run);
         tokens.complete(NOW, &token, (), 0);
         if fault == Fault::OwnerRestarted {
-            tokens = Tokens::new(&name, Incarnation(2));
+            tokens = Tokens::new(&name, Incarnation(2), TokenLimits::default());
         }
         if !reachable(fault, owner, owner) || fault == Fault::OwnerLeftTheList {
             counts.unknown += 1;
