--- a/tests/control_plane.rs
+++ b/tests/control_plane.rs
@@ -73,6 +73,7 @@
     let rule = fleet.members[3].fleet.snapshot();
     let rule = rule.policy().rule_for("GET", "s0", "/x").unwrap().timeout;
     assert_eq!(rule, Duration::from_millis(400));
+    assert_eq!(fleet.checker.violations(), [""; 0]);
 }
 
 /// A domain that is cut off and sees an older platform keeps serving, and takes the later revision when it is joined again.
@@ -88,6 +89,32 @@
     fleet.act_on(2, |_| true).await;
     fleet.publish(3, &policy(300));
     fleet.act_on(3, |_| true).await;
+    assert_eq!(fleet.checker.violations(), [""; 0]);
+}
+
+/// The checker sees a domain that restarts as a whole while the platform is stale and others are cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reverted_revision_is_seen() {
+    let mut fleet = started().await;
+    fleet.publish(2, &policy(200));
+    fleet.act_on(2, |_| true).await;
+    fleet.cut("domain-1", true);
+    fleet.replica.set_fault(Fault::Stale(ConfigDocument {
+        revision: 1,
+        text: policy(100),
+    }));
+    let alone = EACH..2 * EACH;
+    alone.clone().for_each(|at| fleet.members[at].plane = None);
+    for at in alone {
+        fleet.restart(at).await;
+    }
+    fleet.act_on(1, |i| i.domain.as_str() == "domain-1").await;
+    let seen = async {
+        while fleet.checker.violations.lock().unwrap().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(CAP, seen).await.unwrap();
 }
 
 /// A member whose whole process stands still wakes with an old view and checks it first.
--- a/tests/support/real_fleet.rs
+++ b/tests/support/real_fleet.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -9,10 +10,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use tokio::task::JoinHandle;
+
 use dragonflylead::Clock;
 use dragonflylead::Policy;
 use dragonflylead::coordination::control::ControlSettings;
 use dragonflylead::coordination::control::Pace;
+use dragonflylead::instance::DomainName;
 use dragonflylead::instance::Incarnation;
 use dragonflylead::instance::Instance;
 use dragonflylead::instance::InstanceState;
@@ -24,12 +28,73 @@
 use dragonflylead::transport::control::ControlPlaneSettings;
 use dragonflylead::transport::control::OtherHandlers;
 
+/// Time between two looks of the checker.
+const LOOK: Duration = Duration::from_millis(2);
+
 /// Longest wait for a condition.
 pub(crate) const CAP: Duration = Duration::from_secs(120);
 
 /// Domains that cannot reach each other.
 pub(crate) type Cuts = Arc<Mutex<BTreeSet<(SocketAddr, SocketAddr)>>>;
 
+/// Published views that are watched: failure domain and view of each running member.
+type Views = Arc<Mutex<Vec<(DomainName, Arc<FleetTable>)>>>;
+
+/// Looks at all views again and again: once every acting member of a domain acts on a revision, none
+/// may act on an older one.
+pub(crate) struct Checker {
+    views: Views,
+    task: JoinHandle<()>,
+    pub(crate) violations: Arc<Mutex<Vec<String>>>,
+}
+
+impl Checker {
+    fn start(views: Views) -> Checker {
+        let violations: Arc<Mutex<Vec<String>>> = Arc::default();
+        let found = violations.clone();
+        let seen = views.clone();
+        let task = tokio::spawn(async move {
+            let mut established: BTreeMap<DomainName, u64> = BTreeMap::new();
+            loop {
+                found.lock().unwrap().extend(look(&seen, &mut established));
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+        Checker {
+            views,
+            task,
+            violations,
+        }
+    }
+
+    /// Ends the watch and returns what was seen.
+    pub(crate) fn violations(&self) -> Vec<String> {
+        self.task.abort();
+        self.violations.lock().unwrap().clone()
+    }
+}
+
+fn look(views: &Views, established: &mut BTreeMap<DomainName, u64>) -> Vec<String> {
+    let mut acting: BTreeMap<DomainName, Vec<u64>> = BTreeMap::new();
+    for (domain, view) in views.lock().unwrap().iter() {
+        let view = view.snapshot();
+        if view.is_ready() {
+            let list = acting.entry(domain.clone()).or_default();
+            list.push(view.revision());
+        }
+    }
+    let mut found = Vec::new();
+    for (domain, revisions) in acting {
+        let least = revisions.into_iter().min().unwrap_or_default();
+        let known = established.entry(domain.clone()).or_default();
+        if least < *known {
+            found.push(format!("{domain}: {least} after {known}"));
+        }
+        *known = least.max(*known);
+    }
+    found
+}
+
 /// One member.
 pub(crate) struct Member {
     pub(crate) instance: Instance,
@@ -46,6 +111,7 @@
     pub(crate) members: Vec<Member>,
     pub(crate) cuts: Cuts,
     pub(crate) pace: Pace,
+    pub(crate) checker: Checker,
 }
 
 pub(crate) fn keys() -> Keyring {
@@ -74,6 +140,7 @@
             members: Vec::new(),
             cuts: Cuts::default(),
             pace,
+            checker: Checker::start(Views::default()),
         };
         let mut listeners = Vec::new();
         for at in 0..domains * each {
@@ -121,6 +188,13 @@
         member.fleet = Arc::default();
         let settings = self.settings(at, size, listener);
         self.members[at].plane = Some(ControlPlane::start(settings).unwrap());
+        let member = &self.members[at];
+        let view = (member.instance.domain.clone(), member.fleet.clone());
+        let mut views = self.checker.views.lock().unwrap();
+        match views.get_mut(at) {
+            Some(known) => *known = view,
+            None => views.push(view),
+        }
     }
 
     /// Builds the settings of a member's next life.
