--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -78,6 +78,7 @@
     repair_until: [Time; 2],
     members: Members,
     readers: Vec<InstanceName>,
+    ranked: u64,
     phase: Phase,
     draining: bool,
     changed: bool,
@@ -126,6 +127,7 @@
             repair_until: [Time::ZERO; 2],
             members: Members::default(),
             readers: Vec::new(),
+            ranked: 0,
             phase: Phase::starting(),
             draining: false,
             changed: false,
@@ -252,7 +254,9 @@
         let mut actions = Vec::new();
         self.notice_pause(now);
         self.last_tick = Some(now);
-        self.rank_readers();
+        if self.ranked != self.members.generation() {
+            self.rank_readers();
+        }
         self.linger_as_reader(now);
         self.start(now, rng, &mut actions);
         self.exchange_regularly(now, rng, &mut actions);
@@ -279,6 +283,7 @@
         }
         let readers = reader::readers(names).into_iter().cloned().collect();
         self.readers = readers;
+        self.ranked = self.members.generation();
     }
 
     /// Returns the other reachable members of the domain.
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -63,6 +63,7 @@
 pub struct Members {
     members: BTreeMap<InstanceName, Member>,
     removals: VecDeque<(Time, usize)>,
+    generation: u64,
 }
 
 impl Members {
@@ -71,6 +72,7 @@
     /// Instances that are no longer listed are forgotten, unless so many disappear within a short
     /// time that the list is not believed: then each stays until it stops answering.
     pub fn update(&mut self, now: Time, listed: Vec<Instance>) {
+        self.generation += 1;
         let names: BTreeSet<InstanceName> = listed.iter().map(|i| i.name.clone()).collect();
         let known = self.members.values().filter(|m| m.listed).count();
         let gone: Vec<InstanceName> = self
@@ -164,6 +166,7 @@
         if member.incarnation.is_some_and(|known| incarnation > known) {
             member.draining = false;
         }
+        self.generation += u64::from(!member.is_reachable());
         member.incarnation = Some(incarnation);
         member.draining |= draining;
         member.failures = 0;
@@ -177,11 +180,17 @@
             return;
         };
         member.failures = member.failures.saturating_add(1);
+        self.generation += u64::from(!member.is_reachable());
         if member.is_doubted() && !member.is_reachable() {
             self.members.remove(name);
         }
     }
 
+    /// Returns a number that changes when instances come, go, or change in being reachable.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns what is known of an instance.
     pub fn get(&self, name: &InstanceName) -> Option<&Member> {
         self.members.get(name)
