--- a/src/running.rs
+++ b/src/running.rs
@@ -317,8 +317,12 @@
     let mut taken = node.fleet().snapshot();
     node.take_fleet(&taken);
     loop {
+        let last = taken.revision();
         taken = control.changed(&taken).await;
         node.take_fleet(&taken);
+        if taken.revision() != last {
+            log::info!(revision = taken.revision(); "configuration in force");
+        }
     }
 }
 
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -36,6 +36,7 @@
 use crate::transport::body::AnswerBody;
 use crate::transport::body::RequestBody;
 use crate::transport::forward::Answer;
+use crate::transport::guard::log_end;
 use crate::transport::head::Head;
 use crate::transport::outgoing;
 use crate::transport::reply;
@@ -115,13 +116,15 @@
     };
     let began = node.clock.now();
     let (outcome, used) = send_child(node, &child, &out).await;
-    node.count(&CallEnd {
+    let end = CallEnd {
         side: Side::Egress,
         service: &service,
         priority: child.context.priority,
         error: outcome.error(),
         took: node.clock.now().since(began),
-    });
+    };
+    node.count(&end);
+    log_end(child.context.request, &end);
     node.gate
         .give_back(&child, child.context.spare.saturating_sub(used));
     let connection = Connection {
--- a/src/transport/guard.rs
+++ b/src/transport/guard.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
+use log::Level;
+
+use crate::call::CallContext;
 use crate::call::Priority;
+use crate::call::RequestId;
 use crate::clock::Time;
 use crate::coordination::admission::Ticket;
 use crate::coordination::gate::Refusal;
@@ -23,13 +27,19 @@
     pub ticket: Ticket,
     side: Side,
     priority: Priority,
+    request: RequestId,
     began: Time,
     armed: bool,
 }
 
 impl RunGuard {
     /// Guards a call.
-    pub fn new(node: &Arc<Node>, ticket: Ticket, source: &Source, priority: Priority) -> RunGuard {
+    pub fn new(
+        node: &Arc<Node>,
+        ticket: Ticket,
+        source: &Source,
+        context: &CallContext,
+    ) -> RunGuard {
         let side = match source {
             Source::Caller { .. } => Side::Entry,
             Source::Node(_) => Side::Ingress,
@@ -38,7 +48,8 @@
             node: node.clone(),
             ticket,
             side,
-            priority,
+            priority: context.priority,
+            request: context.request,
             began: node.clock.now(),
             armed: true,
         }
@@ -60,6 +71,7 @@
             took,
         };
         self.node.count(&end);
+        log_end(self.request, &end);
         self.node.finish(self.ticket, outcome)
     }
 
@@ -82,3 +94,28 @@
         }
     }
 }
+
+/// Logs how a call ended. Only an unknown outcome is worth a line at the usual level.
+pub fn log_end(request: RequestId, end: &CallEnd<'_>) {
+    let level = match end.error {
+        Some(ErrorKind::Unknown(_)) => Level::Info,
+        Some(ErrorKind::NotRun(_)) | None => Level::Debug,
+    };
+    if !log::log_enabled!(level) {
+        return;
+    }
+    let outcome = match end.error {
+        Some(ErrorKind::Unknown(kind)) => format!("unknown: {kind}"),
+        Some(ErrorKind::NotRun(kind)) => format!("not-run: {kind}"),
+        None => "completed".to_owned(),
+    };
+    log::log!(
+        level,
+        request:% = request,
+        side:% = end.side,
+        service:% = end.service,
+        priority:% = end.priority,
+        took_us = end.took.as_micros() as u64;
+        "{outcome}"
+    );
+}
--- a/src/transport/ingress.rs
+++ b/src/transport/ingress.rs
@@ -76,7 +76,7 @@
     };
     let ticket = node.next_ticket();
     let expected = node.waiters.expect(ticket);
-    let guard = RunGuard::new(node, ticket, &call.source, call.context.priority);
+    let guard = RunGuard::new(node, ticket, &call.source, &call.context);
     match arrive(node, ticket, &mut call, &body) {
         Arrived::Refused(refusal) => {
             move_sideways(guard, &call, body.again(), refusal, connection).await
