--- a/src/bin/dragonflylead.rs
+++ b/src/bin/dragonflylead.rs
@@ -10,6 +10,9 @@
 
 fn main() -> io::Result<ExitCode> {
     let cli = Cli::parse();
-    let exit = cli::run(&cli, &mut io::stdout(), &mut io::stderr())?;
-    Ok(ExitCode::from(exit.code()))
+    match cli::run(&cli, &mut io::stdout(), &mut io::stderr()) {
+        Ok(exit) => Ok(ExitCode::from(exit.code())),
+        Err(e) if e.kind() == io::ErrorKind::BrokenPipe => Ok(ExitCode::SUCCESS),
+        Err(e) => Err(e),
+    }
 }
