--- a/src/coordination/limit.rs
+++ b/src/coordination/limit.rs
@@ -12,6 +12,12 @@
 /// Fewest calls in a window of measurement.
 pub const WINDOW_CALLS: u32 = 32;
 
+/// Fewest calls in the window of a trial that has lasted [`TRIAL_TIME`].
+pub const TRIAL_CALLS: u32 = 8;
+
+/// Time after which a trial is judged by fewer calls than a full window.
+pub const TRIAL_TIME: Duration = Duration::from_millis(500);
+
 /// Latency above this multiple of the baseline starts a trial.
 pub const TOLERANCE: f64 = 1.6;
 
@@ -115,7 +121,7 @@
         self.window.calls += 1;
         self.window.saturated += u32::from(saturated);
         self.window.sum += latency.as_micros() as f64;
-        if self.window.calls < WINDOW_CALLS.max(self.current) {
+        if !self.is_window_full(now) {
             return;
         }
         let latency = self.window.sum / f64::from(self.window.calls);
@@ -124,6 +130,14 @@
         self.judge(latency, saturated, now);
     }
 
+    fn is_window_full(&self, now: Time) -> bool {
+        let calls = self.window.calls;
+        let trial_is_due = self.trial.is_some()
+            && calls >= TRIAL_CALLS
+            && now.since(self.window.from) >= TRIAL_TIME;
+        trial_is_due || calls >= WINDOW_CALLS.max(self.current)
+    }
+
     fn judge(&mut self, latency: f64, saturated: bool, now: Time) {
         let baseline = *self.baseline.get_or_insert(latency);
         let high = latency > baseline * TOLERANCE;
