Bound the services that a node holds rules of

Cause: each new name in an egress path was kept for good and asked for from peers. tests/services.rs: without the bound 512 made-up names are held, with it 255 beside the own one.

--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -58,6 +58,9 @@
 /// Time after which a node that ceased to be a reader gives up the lines it does not need.
 const READER_LINGER: Duration = Duration::from_secs(60);
 
+/// Services whose rules and instances a node holds at most, its own included.
+pub const MAX_SERVICES: usize = 256;
+
 /// The control plane of one node.
 pub struct Control {
     me: Instance,
@@ -225,10 +228,15 @@
     }
 
     /// Adds a service whose rules and instances are needed from now on.
+    ///
+    /// Past [`MAX_SERVICES`] nothing is added: a target that makes up names must not fill the node.
     pub fn want<R>(&mut self, now: Time, service: &ServiceName, rng: &mut R) -> Vec<Action>
     where
         R: Rng,
     {
+        if self.services.len() >= MAX_SERVICES && !self.services.contains(service) {
+            return Vec::new();
+        }
         self.services.insert(service.clone());
         self.changed = true;
         let section = Section::Service(service.clone());
