--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -36,6 +36,7 @@
 use crate::transport::body::AnswerBody;
 use crate::transport::body::RequestBody;
 use crate::transport::forward::Answer;
+use crate::transport::guard::log_end;
 use crate::transport::head::Head;
 use crate::transport::outgoing;
 use crate::transport::reply;
@@ -115,13 +116,15 @@
     };
     let began = node.clock.now();
     let (outcome, used) = send_child(node, &child, &out).await;
-    node.count(&CallEnd {
+    let end = CallEnd {
         side: Side::Egress,
         service: &service,
         priority: child.context.priority,
         error: outcome.error(),
         took: node.clock.now().since(began),
-    });
+    };
+    node.count(&end);
+    log_end(child.context.request, &end);
     node.gate
         .give_back(&child, child.context.spare.saturating_sub(used));
     let connection = Connection {
@@ -185,6 +188,19 @@
     ended
 }
 
+/// The attempts of a call; those that are open when it is dropped are withdrawn.
+struct Attempts<'a> {
+    node: &'a Node,
+    plan: Plan,
+}
+
+impl Drop for Attempts<'_> {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        self.node.dispatcher.abandon(&mut self.plan, now);
+    }
+}
+
 /// Sends a call, with as many attempts as its context allows.
 ///
 /// Returns the outcome and the spare attempts used.
@@ -195,11 +211,13 @@
         cross_region: out.cross_region,
         not_to: out.not_to,
     };
-    let mut plan = node.dispatcher.begin(&call, node.clock.now());
+    let plan = node.dispatcher.begin(&call, node.clock.now());
+    let mut attempts = Attempts { node, plan };
+    let plan = &mut attempts.plan;
     let mut open = FuturesUnordered::new();
     let mut so_far: Option<Outcome<Answer>> = None;
     loop {
-        match node.next_step(&mut plan) {
+        match node.next_step(plan) {
             Step::Send(attempt) => {
                 if let Some(reason) = attempt.reason {
                     node.records.metrics.retried(out.service, reason);
@@ -211,13 +229,12 @@
                 let Some(ended) = next_within(&mut open, wait).await else {
                     continue;
                 };
-                note(node, &mut plan, &ended);
+                note(node, plan, &ended);
                 let outcome = match so_far.take() {
                     None => ended.outcome,
                     Some(earlier) => earlier.after(ended.outcome),
                 };
                 if matches!(outcome, Outcome::Completed(_)) {
-                    node.dispatcher.abandon(&mut plan, node.clock.now());
                     return (outcome, plan.used());
                 }
                 so_far = Some(outcome);
