--- a/src/coordination/control/mod.rs
+++ b/src/coordination/control/mod.rs
@@ -58,6 +58,9 @@
 /// Time after which a node that ceased to be a reader gives up the lines it does not need.
 const READER_LINGER: Duration = Duration::from_secs(60);
 
+/// Services whose rules and instances a node holds at most, its own included.
+pub const MAX_SERVICES: usize = 256;
+
 /// The control plane of one node.
 pub struct Control {
     me: Instance,
@@ -78,6 +81,7 @@
     repair_until: [Time; 2],
     members: Members,
     readers: Vec<InstanceName>,
+    ranked: u64,
     phase: Phase,
     draining: bool,
     changed: bool,
@@ -126,6 +130,7 @@
             repair_until: [Time::ZERO; 2],
             members: Members::default(),
             readers: Vec::new(),
+            ranked: 0,
             phase: Phase::starting(),
             draining: false,
             changed: false,
@@ -223,10 +228,15 @@
     }
 
     /// Adds a service whose rules and instances are needed from now on.
+    ///
+    /// Past [`MAX_SERVICES`] nothing is added: a target that makes up names must not fill the node.
     pub fn want<R>(&mut self, now: Time, service: &ServiceName, rng: &mut R) -> Vec<Action>
     where
         R: Rng,
     {
+        if self.services.len() >= MAX_SERVICES && !self.services.contains(service) {
+            return Vec::new();
+        }
         self.services.insert(service.clone());
         self.changed = true;
         let section = Section::Service(service.clone());
@@ -252,7 +262,9 @@
         let mut actions = Vec::new();
         self.notice_pause(now);
         self.last_tick = Some(now);
-        self.rank_readers();
+        if self.ranked != self.members.generation() {
+            self.rank_readers();
+        }
         self.linger_as_reader(now);
         self.start(now, rng, &mut actions);
         self.exchange_regularly(now, rng, &mut actions);
@@ -279,6 +291,7 @@
         }
         let readers = reader::readers(names).into_iter().cloned().collect();
         self.readers = readers;
+        self.ranked = self.members.generation();
     }
 
     /// Returns the other reachable members of the domain.
