--- a/src/transport/kept.rs
+++ b/src/transport/kept.rs
@@ -34,8 +34,12 @@
         }
     }
 
-    /// Returns the size of the body, in bytes.
+    /// Returns the size of body and headers, in bytes.
     pub fn bytes(&self) -> usize {
-        self.body.len()
+        let headers = self.headers.iter();
+        let size: usize = headers
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
+        self.body.len() + size
     }
 }
