--- a/tests/control_parts.rs
+++ b/tests/control_parts.rs
@@ -132,7 +132,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// A part of a document follows the whole by deltas, and by repairs if a delta was missed.
     #[test]
