A token that ran is never answered as not run; an unreachable target is ejected

Two faults seen in concurrent histories and in the measurement of lost targets. Cause of the second: a node that cannot connect to its target said target-refused, as a target does that sheds, and was never ejected. It now says target-unreachable, which counts as a failure.

--- a/benches/gate.rs
+++ b/benches/gate.rs
@@ -63,6 +63,7 @@
             token: token.as_deref(),
             fingerprint: Fingerprint([1; 16]),
             whole: true,
+            ready: true,
         };
         self.gate
             .arrive(&mut arrival, now, &mut self.rng, &mut effects);
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -35,7 +35,7 @@
 const URGENT_ESTIMATES: u32 = 6;
 
 /// Time until a preempted call has left its slot, added to the urgency of a non-idempotent call.
-const PREEMPT_MARGIN: Duration = Duration::from_millis(30);
+const PREEMPT_MARGIN: Duration = Duration::from_millis(200);
 
 /// Number of priorities.
 const PRIORITIES: usize = 5;
--- a/src/coordination/arrival.rs
+++ b/src/coordination/arrival.rs
@@ -36,6 +36,8 @@
     pub fingerprint: Fingerprint,
     /// Whether the fingerprint covers the whole body.
     pub whole: bool,
+    /// Whether the node may act on its view of the fleet.
+    pub ready: bool,
 }
 
 /// What becomes of a call that arrived.
--- a/src/coordination/gate/arrive.rs
+++ b/src/coordination/gate/arrive.rs
@@ -44,6 +44,7 @@
             pause.look(now);
             pause.may_mint()
         });
+        let may_mint = may_mint && arrival.ready;
         let mut held = self.held.lock();
         if let Err(kind) = check(&mut held, arrival) {
             return Arrived::Refused(kind.into());
@@ -132,6 +133,12 @@
                 Sighting::Mismatch => return Err(NotRunKind::RequestMismatch),
             }
         }
+        if !arrival.ready {
+            return Err(NotRunKind::NotReady);
+        }
+        if !held.has_room() {
+            return Err(NotRunKind::Overloaded);
+        }
         if self.is_draining() {
             return Err(NotRunKind::Draining);
         }
@@ -188,11 +195,14 @@
 }
 
 /// Refuses a call that is too deep, was seen before, or finds no room.
+///
+/// A call with a token is refused for want of room only once the token is known not to have run:
+/// the caller is told that it was not run.
 fn check(held: &mut Held, arrival: &Arrival<'_>) -> Result<(), NotRunKind> {
     if arrival.context.depth > MAX_DEPTH {
         return Err(NotRunKind::TooDeep);
     }
-    if !held.has_room() {
+    if arrival.token.is_none() && !held.has_room() {
         return Err(NotRunKind::Overloaded);
     }
     match &arrival.source {
--- a/src/coordination/verdict.rs
+++ b/src/coordination/verdict.rs
@@ -34,7 +34,10 @@
         | NotRunKind::Draining
         | NotRunKind::TokensExhausted
         | NotRunKind::NotReady => Verdict::Refused,
-        NotRunKind::NoInstance | NotRunKind::HopRejected | NotRunKind::Version => Verdict::Failed,
+        NotRunKind::NoInstance
+        | NotRunKind::TargetUnreachable
+        | NotRunKind::HopRejected
+        | NotRunKind::Version => Verdict::Failed,
         NotRunKind::TargetRefused => Verdict::Unfit,
         NotRunKind::Withdrawn => Verdict::Abandoned,
         _ => Verdict::Worked,
--- a/src/error.rs
+++ b/src/error.rs
@@ -48,6 +48,8 @@
     LinkBudget,
     /// The target refused the call before running it.
     TargetRefused,
+    /// The node cannot connect to its target.
+    TargetUnreachable,
     /// The request is quarantined because it crashed targets.
     Quarantined,
     /// The request is malformed.
@@ -115,6 +117,7 @@
                     | NotRunKind::Draining
                     | NotRunKind::TokensExhausted
                     | NotRunKind::TargetRefused
+                    | NotRunKind::TargetUnreachable
                     | NotRunKind::NotReady
                     | NotRunKind::Version
             ),
--- a/src/protocol/advice.rs
+++ b/src/protocol/advice.rs
@@ -93,8 +93,12 @@
             "Find out why the own region has no instances; raise the link's rate if it is paid for.",
         ),
         NotRunKind::TargetRefused => row(
-            "The target refused the call, or cannot be reached by its node.",
-            "Check the target's process.",
+            "The target refused the call before it ran.",
+            "Nothing, if the target sheds load; else look at the target.",
+        ),
+        NotRunKind::TargetUnreachable => row(
+            "The node cannot connect to its target.",
+            "Check the target's process and `address` in `[target]`.",
         ),
         NotRunKind::Quarantined => row(
             "The request crashed targets and is not run for 10 minutes.",
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -53,6 +53,7 @@
         NotRunKind::NoInstance => (503, SOON),
         NotRunKind::LinkBudget => (503, SOON),
         NotRunKind::TargetRefused => (503, SOON),
+        NotRunKind::TargetUnreachable => (503, SOON),
         NotRunKind::Quarantined => (503, LATER),
         NotRunKind::BadRequest => (400, None),
         NotRunKind::HeadersTooLarge => (431, None),
--- a/src/transport/ingress.rs
+++ b/src/transport/ingress.rs
@@ -65,7 +65,8 @@
     req: &'r Request<'_>,
     data: Data<'r>,
 ) -> Result<Response<'r>, Refusal> {
-    if !node.is_ready() {
+    let ready = node.is_ready();
+    if !ready && req.headers().get_one(header::TOKEN).is_none() {
         return Err(NotRunKind::NotReady.into());
     }
     let mut call = read_call(node, req)?;
@@ -77,7 +78,7 @@
     let ticket = node.next_ticket();
     let expected = node.waiters.expect(ticket);
     let guard = RunGuard::new(node, ticket, &call.source, &call.context);
-    match arrive(node, ticket, &mut call, &body) {
+    match arrive(node, ticket, &mut call, &body, ready) {
         Arrived::Refused(refusal) => {
             move_sideways(guard, &call, body.again(), refusal, connection).await
         }
@@ -96,6 +97,7 @@
     ticket: Ticket,
     call: &mut Incoming,
     body: &RequestBody<'_>,
+    ready: bool,
 ) -> Arrived<KeptAnswer> {
     let held = match body {
         RequestBody::Held(bytes) => Some(bytes),
@@ -109,6 +111,7 @@
         token: call.head.text(header::TOKEN),
         fingerprint,
         whole: held.is_some(),
+        ready,
     };
     node.arrive(&mut arrival)
 }
@@ -197,7 +200,7 @@
 /// A target that can't be reached refuses its calls, and another one may take them.
 fn refused_by_target(kind: NotRunKind) -> NotRunKind {
     match kind {
-        NotRunKind::NoInstance => NotRunKind::TargetRefused,
+        NotRunKind::NoInstance => NotRunKind::TargetUnreachable,
         kind => kind,
     }
 }
@@ -331,6 +334,6 @@
 fn may_move(call: &Incoming, refused: &Refusal) -> bool {
     let entered = matches!(call.source, Source::Caller { .. });
     let safe = call.context.idempotent || call.head.text(header::TOKEN).is_some();
-    let not_run = matches!(refused.kind, ErrorKind::NotRun(_));
+    let not_run = matches!(refused.kind, ErrorKind::NotRun(kind) if kind != NotRunKind::NotReady);
     entered && safe && not_run && call.context.spare > 0 && refused.kind.try_other()
 }
--- a/tests/replay/node.rs
+++ b/tests/replay/node.rs
@@ -205,6 +205,7 @@
             token: event.token.as_ref().map(|name| world.tokens[name].as_str()),
             fingerprint: parts.fingerprint(),
             whole: true,
+            ready: true,
         };
         let arrived = self.gate.arrive(&mut arrival, now, &mut world.rng, effects);
         let known = Known {
