--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,6 +10,7 @@
 
 use crate::coordination::treatment::Treatment;
 use crate::demo;
+use crate::logs;
 use crate::measure::MeasureArgs;
 use crate::measure::run_measure;
 use crate::operate::ReportArgs;
@@ -115,6 +116,7 @@
 where
     O: Write,
 {
+    logs::quiet();
     let runtime = tokio::runtime::Runtime::new()?;
     let held = runtime.block_on(demo::run(out))?;
     Ok(Exit::good_if(held))
--- a/src/coordination/ejection.rs
+++ b/src/coordination/ejection.rs
@@ -40,8 +40,8 @@
             failure_share: 0.8,
             max_share: 0.5,
             first: Duration::from_secs(1),
-            longest: Duration::from_secs(60),
-            ramp: Duration::from_secs(10),
+            longest: Duration::from_secs(2),
+            ramp: Duration::from_secs(2),
             ramp_floor: 0.1,
         }
     }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -56,6 +56,14 @@
         .apply()
 }
 
+/// Logs errors only, for commands that run a fleet in their own process.
+///
+/// A logger that is installed already stays. Without one, Rocket would install its own, which
+/// writes a line for each request whenever another port is being started.
+pub fn quiet() {
+    let _ = init(LevelFilter::Error);
+}
+
 /// Writes a record as one line of JSON without its line end.
 pub fn line(record: &Record<'_>, now: SystemTime) -> String {
     let mut fields = Fields::default();
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -11,6 +11,7 @@
 
 use strum::IntoEnumIterator;
 
+use crate::logs;
 use crate::measure::figures::Figures;
 use crate::measure::figures::figures;
 use crate::measure::setting::Setting;
@@ -51,6 +52,7 @@
 where
     O: Write,
 {
+    logs::quiet();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -446,7 +446,10 @@
 
 #[test]
 fn ejected_instances_are_probed_once_with_backoff() {
-    let cfg = EjectionConfig::default();
+    let cfg = EjectionConfig {
+        longest: Duration::from_secs(60),
+        ..EjectionConfig::default()
+    };
     let mut health = Health::warm();
     let mut now = Time::ZERO;
     let mut spans = Vec::new();
