A charge with little time waits for half of it before it takes the slot of a lookup

Cause: with the margin of 200 ms a charge that came with 100 ms cancelled a lookup at once; the trace surge-with-charge states that it waits.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -138,7 +138,7 @@
         if job.deadline <= now {
             return self.drop_call(job.ticket, NotRunKind::DeadlineInQueue, out);
         }
-        let urgent = self.is_urgent(&job, now);
+        let urgent = self.is_urgent(&job, now, now);
         self.queue.push(job, now);
         self.fill(now, out);
         self.shed_excess(now, out);
@@ -270,7 +270,7 @@
         let urgent: Vec<(Priority, bool)> = self
             .queue
             .iter()
-            .filter(|w| self.is_urgent(&w.job, now))
+            .filter(|w| self.is_urgent(&w.job, w.since, now))
             .map(|w| (w.job.priority, w.job.exclusive))
             .collect();
         let mut pending = self.slots.preempting();
@@ -310,8 +310,11 @@
     }
 
     /// Returns whether a non-idempotent call would miss its deadline by waiting much longer.
-    fn is_urgent(&self, job: &Job, now: Time) -> bool {
-        let margin = self.service_time(job.priority) * URGENT_ESTIMATES + PREEMPT_MARGIN;
+    ///
+    /// One that came with little time waits for half of it before it takes the slot of another.
+    fn is_urgent(&self, job: &Job, since: Time, now: Time) -> bool {
+        let leaving = PREEMPT_MARGIN.min(job.deadline.since(since) / 2);
+        let margin = self.service_time(job.priority) * URGENT_ESTIMATES + leaving;
         !job.idempotent && job.deadline.since(now) < margin
     }
 
