One way to draw a request id, one to list the own instance

Node and caller drew request ids by the same expression; the stand-in fleet, the histories and the start of the control plane each built the instance of a node. Gate::calls_of was used by nobody.

--- a/src/call.rs
+++ b/src/call.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use rand::CryptoRng;
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
@@ -30,6 +31,14 @@
         RequestId(xxhash_rust::xxh3::xxh3_128(text.as_bytes()))
     }
 
+    /// Draws an id that nobody can guess.
+    pub fn random<R>(rng: &mut R) -> RequestId
+    where
+        R: CryptoRng,
+    {
+        RequestId(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
+    }
+
     /// Returns the cohort of the request, the same at every service.
     pub fn cohort(self) -> Cohort {
         let hash = xxh3_64(&self.0.to_le_bytes());
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -14,7 +14,6 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
-use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 
@@ -220,7 +219,7 @@
 
     fn new_request_id(&self) -> RequestId {
         let mut rng = lock(&self.rng);
-        RequestId(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
+        RequestId::random(&mut *rng)
     }
 
     fn take_token(&self, entry: SocketAddr, idempotent: bool) -> Option<String> {
--- a/src/coordination/gate/mod.rs
+++ b/src/coordination/gate/mod.rs
@@ -217,11 +217,6 @@
         }
     }
 
-    /// Returns the calls that belong to a request.
-    pub fn calls_of(&self, request: RequestId) -> Vec<Ticket> {
-        self.held.lock().of_request(request)
-    }
-
     /// Mints an idempotency token for a later call.
     ///
     /// # Errors
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,7 +11,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::Notify;
@@ -281,9 +280,7 @@
 
     /// Returns an unguessable request id.
     pub fn new_request_id(&self) -> RequestId {
-        self.with_rng(|rng| {
-            RequestId(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
-        })
+        self.with_rng(RequestId::random)
     }
 
     /// Decides about a call that arrives.
--- a/src/running.rs
+++ b/src/running.rs
@@ -142,6 +142,11 @@
         self.operator.address()
     }
 
+    /// Returns the instance as the platform would list it.
+    pub fn instance(&self) -> Instance {
+        listed(&self.node, self.ingress(), self.peer)
+    }
+
     /// Waits until the node may act on its view of the fleet.
     pub async fn ready(&self) {
         if let Some(control) = self.node.control() {
@@ -246,22 +251,26 @@
     OperatorPort::new(node.records.metrics.clone(), move || own::status(&shown))
 }
 
-fn start_control(
-    node: &Arc<Node>,
-    listener: TcpListener,
-    ingress: SocketAddr,
-    options: StartOptions,
-) -> io::Result<()> {
+fn listed(node: &Node, ingress: SocketAddr, peer: SocketAddr) -> Instance {
     let own = &node.settings.instance;
-    let instance = Instance {
+    Instance {
         name: own.name.clone(),
         service: own.service.clone(),
         domain: own.domain.clone(),
         region: own.region.clone(),
         ingress,
-        peer: listener.local_addr()?,
+        peer,
         state: InstanceState::Live,
-    };
+    }
+}
+
+fn start_control(
+    node: &Arc<Node>,
+    listener: TcpListener,
+    ingress: SocketAddr,
+    options: StartOptions,
+) -> io::Result<()> {
+    let instance = listed(node, ingress, listener.local_addr()?);
     let control = ControlSettings {
         instance,
         incarnation: node.incarnation(),
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -6,7 +6,6 @@
 use crate::instance::DomainName;
 use crate::instance::Instance;
 use crate::instance::InstanceName;
-use crate::instance::InstanceState;
 use crate::instance::RegionName;
 use crate::instance::ServiceName;
 use crate::running::RunningNode;
@@ -172,7 +171,7 @@
             current: FLEET_KEY.to_owned(),
             previous: None,
         };
-        let mut settings = Settings::with_defaults(identity.clone(), self.platform.url(), keys);
+        let mut settings = Settings::with_defaults(identity, self.platform.url(), keys);
         settings.ports = any_ports();
         settings.target = target.address();
         let seed = spec.seed.wrapping_add(self.members.len() as u64);
@@ -180,15 +179,7 @@
         adjust(&mut settings, &mut options);
         let node = RunningNode::start(settings, options).await?;
         target.set_egress(node.egress());
-        let instance = Instance {
-            name: identity.name,
-            service: identity.service,
-            domain: identity.domain,
-            region: identity.region,
-            ingress: node.ingress(),
-            peer: node.peer(),
-            state: InstanceState::Live,
-        };
+        let instance = node.instance();
         self.members.push(Member {
             instance,
             target,
--- a/tests/history/world.rs
+++ b/tests/history/world.rs
@@ -7,7 +7,6 @@
 use dragonflylead::instance::DomainName;
 use dragonflylead::instance::Instance;
 use dragonflylead::instance::InstanceName;
-use dragonflylead::instance::InstanceState;
 use dragonflylead::instance::RegionName;
 use dragonflylead::instance::ServiceName;
 use dragonflylead::running::RunningNode;
@@ -144,15 +143,7 @@
         let options = StartOptions::new(seed.wrapping_add(number));
         let node = RunningNode::start(settings, options).await.unwrap();
         target.set_egress(node.egress());
-        let instance = Instance {
-            name: identity.name,
-            service: identity.service,
-            domain: identity.domain,
-            region: identity.region,
-            ingress: node.ingress(),
-            peer: node.peer(),
-            state: InstanceState::Live,
-        };
+        let instance = node.instance();
         self.members.push(Member {
             instance,
             target,
