--- /dev/null
+++ b/src/coordination/route.rs
@@ -0,0 +1,180 @@
+//! Routes: which service a request goes to, and how it is to be treated.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::call::Priority;
+use crate::instance::ServiceName;
+
+/// Requests, counted from the start, over which a split comes back to where it began.
+const SPLIT_PERIOD: u64 = 1 << 20;
+
+/// One of the services that a route's requests are split among.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share of the requests, relative to the other parts.
+    pub weight: u32,
+}
+
+/// How requests of one host and path prefix are treated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name, unique in its table.
+    pub name: Arc<str>,
+    /// Host, in lower case.
+    pub host: String,
+    /// Beginning of the path.
+    pub prefix: String,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most to its caller.
+    pub objective: Duration,
+    /// Importance; 0 is the highest.
+    pub rank: u8,
+    /// Targets that one request may be sent to, at most.
+    pub max_attempts: u32,
+    /// Services that the requests are split among.
+    pub parts: Vec<Part>,
+}
+
+/// Returns the priority in the admission queue of a request of `rank`, 0 being the highest rank.
+/// The first priority is left to sub-calls, whose roots have already run.
+pub fn priority(rank: u8) -> Priority {
+    match rank {
+        0 => Priority::High,
+        1 => Priority::Normal,
+        2 => Priority::Low,
+        _ => Priority::Background,
+    }
+}
+
+/// What a caller may send, as the operator set it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Longest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Longest time that the head of a request may take.
+    pub head_time: Duration,
+    /// Longest time that a connection stays idle.
+    pub idle: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Limits until a configuration is known.
+    fn default() -> CallerLimits {
+        CallerLimits {
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A configuration: its routes and limits.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTable {
+    /// Version; a higher one replaces a lower one.
+    pub version: u64,
+    /// What a caller may send.
+    pub limits: CallerLimits,
+    routes: Vec<Arc<Route>>,
+    #[serde(skip)]
+    by_host: HashMap<String, Vec<usize>>,
+}
+
+impl RouteTable {
+    /// Builds a table.
+    pub fn new(version: u64, limits: CallerLimits, routes: Vec<Route>) -> RouteTable {
+        let routes = routes.into_iter().map(Arc::new).collect();
+        let table = RouteTable {
+            version,
+            limits,
+            routes,
+            by_host: HashMap::new(),
+        };
+        table.indexed()
+    }
+
+    /// Returns the table with its index, which does not travel with it.
+    pub fn indexed(mut self) -> RouteTable {
+        self.by_host.clear();
+        for (at, route) in self.routes.iter().enumerate() {
+            self.by_host.entry(route.host.clone()).or_default().push(at);
+        }
+        for places in self.by_host.values_mut() {
+            places.sort_by_key(|&at| std::cmp::Reverse(self.routes[at].prefix.len()));
+        }
+        self
+    }
+
+    /// Returns the route of `host` with the longest prefix that begins `path`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let places = self.by_host.get(host)?;
+        places
+            .iter()
+            .map(|&at| &self.routes[at])
+            .find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Iterates over the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.iter()
+    }
+}
+
+/// Splits the requests of each route among its parts.
+///
+/// A stride that is irrational to the total keeps the share of every part close to its weight in
+/// any run of requests, and nodes that start at different points do not move in step.
+#[derive(Debug)]
+pub struct Split {
+    start: u64,
+    counts: HashMap<Arc<str>, u64>,
+}
+
+impl Split {
+    /// Builds a split that begins at an arbitrary point.
+    pub fn new(start: u64) -> Split {
+        Split {
+            start: start % SPLIT_PERIOD,
+            counts: HashMap::new(),
+        }
+    }
+
+    /// Forgets routes that are gone.
+    pub fn keep(&mut self, table: &RouteTable) {
+        let names: std::collections::HashSet<&str> =
+            table.routes().map(|route| route.name.as_ref()).collect();
+        self.counts.retain(|name, _| names.contains(name.as_ref()));
+    }
+
+    /// Returns the service that the next request of `route` goes to.
+    pub fn next(&mut self, route: &Route) -> Option<ServiceName> {
+        if let [only] = route.parts.as_slice() {
+            return Some(only.service.clone());
+        }
+        let count = self.counts.entry(route.name.clone()).or_default();
+        *count = (*count + 1) % SPLIT_PERIOD;
+        let total: u64 = route.parts.iter().map(|p| u64::from(p.weight)).sum();
+        let golden = 0.618_033_988_749_894_9;
+        let mut at = ((self.start + *count) as f64 * golden).fract() * total as f64;
+        for part in &route.parts {
+            at -= f64::from(part.weight);
+            if at < 0.0 {
+                return Some(part.service.clone());
+            }
+        }
+        route.parts.last().map(|p| p.service.clone())
+    }
+}
--- /dev/null
+++ b/src/http1/write.rs
@@ -0,0 +1,59 @@
+//! Messages to bytes.
+
+use std::io::Write;
+
+use http::StatusCode;
+
+use crate::http1::head::Header;
+
+/// Appends a request with its body.
+pub fn request(
+    out: &mut Vec<u8>,
+    method: &str,
+    target: &str,
+    host: &str,
+    headers: &[Header],
+    body: &[u8],
+) {
+    // Writing to a vector does not fail.
+    let _ = write!(out, "{method} {target} HTTP/1.1\r\nHost: {host}\r\n");
+    headers.iter().for_each(|h| header(out, &h.0, &h.1));
+    if !body.is_empty() || matches!(method, "POST" | "PUT" | "PATCH") {
+        let _ = write!(out, "Content-Length: {}\r\n", body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+}
+
+/// Appends a response with its body. A `HEAD` request gets no body.
+pub fn response(
+    out: &mut Vec<u8>,
+    status: u16,
+    headers: &[Header],
+    body: &[u8],
+    close: bool,
+    to_head: bool,
+) {
+    let reason = StatusCode::from_u16(status).ok();
+    let reason = reason.and_then(|s| s.canonical_reason()).unwrap_or("Status");
+    let _ = write!(out, "HTTP/1.1 {status} {reason}\r\n");
+    headers.iter().for_each(|h| header(out, &h.0, &h.1));
+    if status != 204 && status != 304 {
+        let _ = write!(out, "Content-Length: {}\r\n", body.len());
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    if !to_head {
+        out.extend_from_slice(body);
+    }
+}
+
+/// Appends one header.
+pub fn header(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,6 +1,10 @@
 //! Logs as JSON lines on standard error.
 
 use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -56,6 +60,98 @@
         .apply()
 }
 
+/// Starts to log records from `level` on to standard output, without ever waiting for its reader.
+///
+/// Lines beyond what the reader takes in time are left out and counted. The returned guard writes
+/// what is left when it is dropped.
+///
+/// # Errors
+///
+/// If a logger is already installed.
+pub fn to_stdout(level: LevelFilter) -> Result<Flush, SetLoggerError> {
+    let lines = Arc::new(Lines::default());
+    let taken = lines.clone();
+    let mut dispatch = fern::Dispatch::new().level(level);
+    for library in LIBRARIES {
+        dispatch = dispatch.level_for(library, level.min(LevelFilter::Warn));
+    }
+    dispatch
+        .chain(fern::Output::call(move |record| {
+            taken.push(record.level(), || line(record, SystemTime::now()));
+        }))
+        .apply()?;
+    let written = lines.clone();
+    std::thread::spawn(move || {
+        loop {
+            std::thread::sleep(FLUSH_PERIOD);
+            written.flush();
+        }
+    });
+    Ok(Flush(lines))
+}
+
+/// Time between two writes of the lines that were gathered.
+const FLUSH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Bytes of lines that wait to be written, at most.
+const MAX_WAITING: usize = 512 * 1024;
+
+/// Lines at level `info` and below within one flush period, at most. Warnings and errors go beyond.
+const MAX_LINES: usize = 250;
+
+/// Writes the remaining lines when it is dropped.
+#[derive(Debug)]
+pub struct Flush(Arc<Lines>);
+
+impl Drop for Flush {
+    fn drop(&mut self) {
+        self.0.flush();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Lines(Mutex<Waiting>);
+
+#[derive(Debug, Default)]
+struct Waiting {
+    text: String,
+    lines: usize,
+    left_out: u64,
+}
+
+impl Lines {
+    fn push<F>(&self, level: log::Level, line: F)
+    where
+        F: FnOnce() -> String,
+    {
+        let mut waiting = self.0.lock().unwrap_or_else(|p| p.into_inner());
+        let urgent = level <= log::Level::Warn;
+        let full = waiting.text.len() >= MAX_WAITING;
+        if full || (waiting.lines >= MAX_LINES && !urgent) {
+            waiting.left_out += 1;
+            return;
+        }
+        waiting.lines += 1;
+        waiting.text.push_str(&line());
+        waiting.text.push('\n');
+    }
+
+    fn flush(&self) {
+        let waiting = {
+            let mut waiting = self.0.lock().unwrap_or_else(|p| p.into_inner());
+            std::mem::take(&mut *waiting)
+        };
+        let mut text = waiting.text;
+        if waiting.left_out > 0 {
+            let left_out = waiting.left_out;
+            text.push_str(&format!("{{\"message\":\"lines left out\",\"lines\":{left_out}}}\n"));
+        }
+        // Nothing can be said about a standard output that cannot be written.
+        let _ = std::io::stdout().write_all(text.as_bytes());
+        let _ = std::io::stdout().flush();
+    }
+}
+
 /// Logs errors only, for commands that run a fleet in their own process.
 ///
 /// A logger that is installed already stays. Without one, Rocket would install its own, which
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod advice;
 pub mod answer;
+pub mod frame;
 pub mod header;
 pub mod hop;
 pub mod peer;
+pub mod reading;
--- /dev/null
+++ b/src/relay/call.rs
@@ -0,0 +1,423 @@
+//! The life of one request at the node that read it: treatment, placing, and the final answer.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::coordination::comeback;
+use crate::coordination::pressure::Gate;
+use crate::coordination::route::Route;
+use crate::coordination::route::RouteTable;
+use crate::coordination::route;
+use crate::coordination::routing::Choice;
+use crate::coordination::routing::Pick;
+use crate::coordination::routing::Place;
+use crate::coordination::routing::Want;
+use crate::coordination::target::Observation;
+use crate::coordination::target::Verdict;
+use crate::error::ErrorKind;
+use crate::error::NotRunKind;
+use crate::error::UnknownKind;
+use crate::http1::Header;
+use crate::http1::reader::Request;
+use crate::instance::InstanceName;
+use crate::instance::ServiceName;
+use crate::protocol::frame;
+use crate::protocol::frame::Ended;
+use crate::protocol::frame::LoadReport;
+use crate::protocol::frame::RunRequest;
+use crate::relay::Relay;
+use crate::relay::link::Reply;
+use crate::relay::run;
+
+/// Instances that one request is offered to, at most. Each offer that is refused costs a hop.
+const MAX_OFFERS: usize = 4;
+
+/// Least time left with which a request is sent on.
+const LEAST_REMAINING: Duration = Duration::from_millis(10);
+
+/// Load in percent of the own target from which on it is not preferred to others.
+const OWN_BUSY_PERCENT: u16 = 80;
+
+/// An answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Builds an answer of this node's own.
+    pub fn own(status: u16, reason: &str) -> Answer {
+        Answer {
+            status,
+            headers: Vec::new(),
+            body: reason.as_bytes().to_vec(),
+        }
+    }
+
+    fn with_retry_after(mut self, wait: Duration) -> Answer {
+        let value = format!("{:.3}", wait.as_secs_f64());
+        self.headers.push(("Retry-After".to_owned(), value.into_bytes()));
+        self
+    }
+}
+
+/// A request with what was decided about it.
+struct Call<'a> {
+    relay: &'a Arc<Relay>,
+    route: &'a Arc<Route>,
+    request: &'a Request,
+    id: &'a str,
+    service: ServiceName,
+    subcall: bool,
+    arrived: Time,
+    deadline: Time,
+    /// Whether it may be running, so that only a whole answer or an unknown outcome is true.
+    may_run: AtomicBool,
+}
+
+/// Answers one request. Dropping the future withdraws it.
+pub async fn handle(relay: &Arc<Relay>, request: &Request, from: IpAddr, arrived: Time) -> Answer {
+    let dialect = *relay.dialect();
+    let Some(id) = request.head.header(dialect.request_id) else {
+        return Answer::own(400, "request id is missing");
+    };
+    let stated = request.head.header(dialect.deadline_ms);
+    let stated = stated.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let Some(table) = relay.view().routes.clone() else {
+        let wait = comeback::when_not_ready(stated.unwrap_or_default());
+        log::info!(request:% = id, kind:% = NotRunKind::NotReady; "refused");
+        return Answer::own(503, "no configuration yet").with_retry_after(wait);
+    };
+    let Some(route) = table.find(&request.head.host, request.head.path()) else {
+        log::info!(
+            request:% = id, host:% = request.head.host, path:% = request.head.path(),
+            version = table.version;
+            "no route"
+        );
+        return Answer::own(404, "no route");
+    };
+    let Some(call) = decide(relay, &table, route, request, id, stated, from, arrived) else {
+        return Answer::own(503, "route without service");
+    };
+    let answer = call.answer().await;
+    relay.figures().request(&route.name, answer.status, relay.now().since(arrived));
+    answer
+}
+
+#[expect(clippy::too_many_arguments, reason = "each is a different input of the decision")]
+fn decide<'a>(
+    relay: &'a Arc<Relay>,
+    _table: &RouteTable,
+    route: &'a Arc<Route>,
+    request: &'a Request,
+    id: &'a str,
+    stated: Option<Duration>,
+    from: IpAddr,
+    arrived: Time,
+) -> Option<Call<'a>> {
+    let service = relay.decisions().split.next(route)?;
+    let remaining = stated.map_or(route.timeout, |stated| stated.min(route.timeout));
+    Some(Call {
+        relay,
+        route,
+        request,
+        id,
+        service,
+        subcall: relay.is_own_machine(from),
+        arrived,
+        deadline: arrived.plus(remaining),
+        may_run: AtomicBool::new(false),
+    })
+}
+
+impl Call<'_> {
+    async fn answer(&self) -> Answer {
+        if let Some(gate) = self.refused_at_root() {
+            return self.refuse(NotRunKind::Shed, gate.share(self.route.rank));
+        }
+        if self.subcall {
+            let now = self.relay.now();
+            self.relay.decisions().fanout.called(&self.route.name, now);
+        }
+        let left = self.deadline.since(self.relay.now());
+        match tokio::time::timeout(left, self.place()).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(ErrorKind::NotRun(kind))) => self.refuse(kind, 0.5),
+            Ok(Err(ErrorKind::Unknown(kind))) => self.fail(kind),
+            Err(_) if self.may_run.load(Ordering::Relaxed) => self.fail(UnknownKind::Deadline),
+            Err(_) => self.refuse(NotRunKind::DeadlineInQueue, 0.5),
+        }
+    }
+
+    /// Returns the gate that keeps this request out, if one does. Sub-calls always enter, because
+    /// their root has paid already.
+    fn refused_at_root(&self) -> Option<Gate> {
+        if self.subcall {
+            return None;
+        }
+        let now = self.relay.now();
+        let mut decisions = self.relay.decisions();
+        let gate = decisions.gates.gate(&self.route.name, now);
+        let luck = rand::RngExt::random_range(&mut decisions.rng, 0.0..1.0);
+        (!gate.admits(self.route.rank, luck)).then_some(gate)
+    }
+
+    /// Offers the request to one instance after the other, until one answers.
+    async fn place(&self) -> Result<Answer, ErrorKind> {
+        let mut tried: Vec<InstanceName> = Vec::new();
+        let mut sends = 0;
+        let mut last = ErrorKind::NotRun(NotRunKind::NoInstance);
+        let now = self.relay.now();
+        self.relay.decisions().spend.first(&self.service, now);
+        while tried.len() < MAX_OFFERS {
+            if self.deadline.since(self.relay.now()) < LEAST_REMAINING {
+                return Err(last);
+            }
+            if sends > 0 && !self.may_send_again(sends) {
+                return Err(last);
+            }
+            let pick = match self.choose(&tried) {
+                Choice::Send(pick) => pick,
+                Choice::None(kind) if tried.is_empty() => return Err(kind.into()),
+                Choice::None(_) => return Err(last),
+            };
+            tried.push(pick.to.name.clone());
+            let reply = self.offer(&pick).await;
+            match reply.ended {
+                Ended::Answered {
+                    status,
+                    headers,
+                    body,
+                } => return Ok(self.pass_on(status, frame::from_wire(headers), body)),
+                Ended::NotRun { kind, reached } => {
+                    sends += u32::from(reached);
+                    if !matches!(last, ErrorKind::Unknown(_)) {
+                        last = kind.into();
+                    }
+                }
+                Ended::Unknown(kind) => {
+                    sends += 1;
+                    last = kind.into();
+                    if !self.route.idempotent || kind == UnknownKind::Deadline {
+                        return Err(last);
+                    }
+                }
+            }
+            let may_run = matches!(last, ErrorKind::Unknown(_));
+            self.may_run.store(may_run, Ordering::Relaxed);
+        }
+        Err(last)
+    }
+
+    fn may_send_again(&self, sends: u32) -> bool {
+        let now = self.relay.now();
+        sends < self.route.max_attempts
+            && self.relay.decisions().spend.take(&self.service, now)
+    }
+
+    fn choose(&self, tried: &[InstanceName]) -> Choice {
+        if let Some(pick) = self.own_target(tried) {
+            return Choice::Send(pick);
+        }
+        let now = self.relay.now();
+        let mut decisions = self.relay.decisions();
+        let crate::relay::Decisions { router, rng, .. } = &mut *decisions;
+        let near = Want {
+            service: &self.service,
+            priority: route::priority(self.route.rank),
+            idempotent: self.route.idempotent,
+            cross_region: false,
+            tried,
+            fresh_only: true,
+        };
+        match router.choose(&near, now, rng) {
+            Choice::Send(pick) => Choice::Send(pick),
+            Choice::None(_) => {
+                let far = Want {
+                    cross_region: true,
+                    ..near
+                };
+                router.choose(&far, now, rng)
+            }
+        }
+    }
+
+    /// Returns the target beside this node, if it serves the request and has room.
+    fn own_target(&self, tried: &[InstanceName]) -> Option<Pick> {
+        let own = self.relay.own_target()?;
+        let fits = own.instance.service == self.service && !tried.contains(&own.instance.name);
+        let free = self.relay.intake().percent() < OWN_BUSY_PERCENT;
+        let open = self.relay.check_target(&own.instance.name).is_ok();
+        (fits && free && open).then(|| Pick {
+            to: own.instance,
+            place: Place::Domain,
+            toll: None,
+        })
+    }
+
+    async fn offer(&self, pick: &Pick) -> Reply {
+        let now = self.relay.now();
+        self.relay.decisions().router.sent(pick, now);
+        let mut watch = OfferWatch {
+            call: self,
+            pick,
+            since: now,
+            ended: false,
+        };
+        self.may_run.store(true, Ordering::Relaxed);
+        let req = self.run_request(pick, now);
+        let reply = match self.is_here(pick) {
+            true => Reply {
+                ended: run::run_here(self.relay, req, now).await,
+                load: Some(self.relay.load_report(&self.route.name)),
+            },
+            false => self.relay.links().run(pick.to.peer, req).await,
+        };
+        watch.ended(&reply);
+        reply
+    }
+
+    fn is_here(&self, pick: &Pick) -> bool {
+        pick.to.peer.ip() == self.relay.cfg().peers.ip()
+    }
+
+    fn run_request(&self, pick: &Pick, now: Time) -> RunRequest {
+        let dialect = self.relay.dialect();
+        let head = &self.request.head;
+        let forwarded = head.headers.iter().filter(|(n, _)| !dialect.is_set_by_node(n));
+        let forwarded: Vec<Header> = forwarded.cloned().collect();
+        RunRequest {
+            number: 0,
+            target: pick.to.name.clone(),
+            route: self.route.name.to_string(),
+            remaining_ms: self.deadline.since(now).as_millis() as u32,
+            rank: self.route.rank,
+            idempotent: self.route.idempotent,
+            subcall: self.subcall,
+            id: self.id.to_owned(),
+            caller_service: self.relay.cfg().service.to_string(),
+            method: head.method.clone(),
+            path: head.target.clone(),
+            host: head.host.clone(),
+            headers: frame::to_wire(&forwarded),
+            body: self.request.body.clone(),
+        }
+    }
+
+    fn pass_on(&self, status: u16, headers: Vec<Header>, body: Vec<u8>) -> Answer {
+        log::info!(
+            request:% = self.id, route:% = self.route.name, status = status,
+            took_ms = self.took_ms();
+            "answered"
+        );
+        Answer {
+            status,
+            headers,
+            body,
+        }
+    }
+
+    /// The request was not run: the caller is told when to come back.
+    fn refuse(&self, kind: NotRunKind, entering: f64) -> Answer {
+        let remaining = self.deadline.since(self.relay.now());
+        let wait = {
+            let mut decisions = self.relay.decisions();
+            comeback::after_refusal(remaining, entering, &mut decisions.rng)
+        };
+        log::info!(
+            request:% = self.id, route:% = self.route.name, kind:% = kind, subcall = self.subcall,
+            entering = entering, took_ms = self.took_ms(), retry_after_ms = wait.as_millis() as u64;
+            "refused"
+        );
+        self.relay.figures().refused(&self.route.name, kind);
+        Answer::own(503, &kind.to_string()).with_retry_after(wait)
+    }
+
+    /// The request may have run: nothing is promised.
+    fn fail(&self, kind: UnknownKind) -> Answer {
+        log::info!(
+            request:% = self.id, route:% = self.route.name, kind:% = kind, subcall = self.subcall,
+            took_ms = self.took_ms();
+            "failed"
+        );
+        self.relay.figures().failed(&self.route.name, kind);
+        let status = match kind {
+            UnknownKind::Deadline => 504,
+            _ => 502,
+        };
+        Answer::own(status, &kind.to_string())
+    }
+
+    fn took_ms(&self) -> u64 {
+        self.relay.now().since(self.arrived).as_millis() as u64
+    }
+}
+
+/// Tells the router how an offer ended, also if nobody waits for it any more.
+struct OfferWatch<'a> {
+    call: &'a Call<'a>,
+    pick: &'a Pick,
+    since: Time,
+    ended: bool,
+}
+
+impl OfferWatch<'_> {
+    fn ended(&mut self, reply: &Reply) {
+        self.ended = true;
+        let now = self.call.relay.now();
+        let verdict = match &reply.ended {
+            Ended::Answered { status, .. } if *status >= 500 => Verdict::Failed,
+            Ended::Answered { .. } => Verdict::Worked,
+            Ended::NotRun {
+                kind: NotRunKind::TargetUnreachable | NotRunKind::TargetRefused,
+                ..
+            } => Verdict::Unfit,
+            Ended::NotRun { .. } => Verdict::Refused,
+            Ended::Unknown(_) => Verdict::Failed,
+        };
+        let draining = matches!(
+            &reply.ended,
+            Ended::NotRun {
+                kind: NotRunKind::Draining,
+                ..
+            }
+        );
+        let bytes = match &reply.ended {
+            Ended::Answered { body, .. } => body.len() as u64,
+            _ => 0,
+        };
+        let seen = Observation {
+            load: reply.load.map(|load| f64::from(load.percent) / 100.0),
+            draining,
+            bytes,
+            ..Observation::of(verdict, now.since(self.since))
+        };
+        let mut decisions = self.call.relay.decisions();
+        decisions.router.answered(self.pick, &seen, now);
+        if let Some(LoadReport { gate, .. }) = reply.load {
+            let gate = Gate::from_byte(gate);
+            decisions.gates.report(&self.call.route.name, gate, now);
+        }
+    }
+}
+
+impl Drop for OfferWatch<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let now = self.call.relay.now();
+        let seen = Observation::of(Verdict::Abandoned, now.since(self.since));
+        let mut decisions = self.call.relay.decisions();
+        decisions.router.answered(self.pick, &seen, now);
+    }
+}
--- /dev/null
+++ b/src/relay/caller.rs
@@ -0,0 +1,216 @@
+//! Connections of callers: requests run side by side and are answered in the order they came.
+
+use std::io;
+use std::net::IpAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesOrdered;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use crate::coordination::route::CallerLimits;
+use crate::http1::head::MessageError;
+use crate::http1::reader::Incoming;
+use crate::http1::reader::ReadEnd;
+use crate::http1::reader::ReadLimits;
+use crate::http1::reader::Request;
+use crate::http1::reader::RequestReader;
+use crate::http1::write;
+use crate::relay::Relay;
+use crate::relay::call;
+use crate::relay::call::Answer;
+use crate::relay::run::ACCEPT_PAUSE;
+use crate::relay::socket;
+
+/// Requests of one connection in progress at once.
+const MAX_PIPELINED: usize = 32;
+
+/// Longest body that is held, in bytes.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+
+/// Time that a caller gets to read its last answer before the connection is cut.
+const CLOSE_WITHIN: Duration = Duration::from_millis(500);
+
+/// Time between two looks whether the node is stopping.
+const STOP_LOOK: Duration = Duration::from_millis(100);
+
+/// Time for which a stopping node keeps an idle connection open, for a request on its way.
+const STOP_LINGER: Duration = Duration::from_millis(250);
+
+/// An answer that is due on a connection.
+type Due<'a> = Pin<Box<dyn Future<Output = Finished> + Send + 'a>>;
+
+struct Finished {
+    answer: Answer,
+    close: bool,
+    to_head: bool,
+}
+
+/// Accepts callers until the listener is dropped with the task.
+pub async fn accept(relay: Arc<Relay>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let relay = relay.clone();
+                tokio::spawn(async move {
+                    relay.figures().caller_connected();
+                    if let Err(e) = serve(&relay, stream, from.ip()).await {
+                        log::debug!(caller:% = from, error:% = e; "connection of a caller ended");
+                    }
+                });
+            }
+            Err(e) => {
+                log::warn!("no caller accepted: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(relay: &Arc<Relay>, stream: TcpStream, from: IpAddr) -> io::Result<()> {
+    socket::watch(&stream)?;
+    let (rd, wr) = stream.into_split();
+    let mut connection = Connection {
+        relay,
+        from,
+        reader: RequestReader::new(rd),
+        wr,
+        due: FuturesOrdered::new(),
+        out: Vec::new(),
+    };
+    connection.serve().await
+}
+
+struct Connection<'a> {
+    relay: &'a Arc<Relay>,
+    from: IpAddr,
+    reader: RequestReader<OwnedReadHalf>,
+    wr: OwnedWriteHalf,
+    due: FuturesOrdered<Due<'a>>,
+    out: Vec<u8>,
+}
+
+impl Connection<'_> {
+    async fn serve(&mut self) -> io::Result<()> {
+        let mut last_read = false;
+        loop {
+            let limits = self.limits();
+            let reads = !last_read && self.due.len() < MAX_PIPELINED;
+            tokio::select! {
+                biased;
+                Some(finished) = self.due.next(), if !self.due.is_empty() => {
+                    let last = self.due.is_empty();
+                    let close = finished.close || (self.relay.is_stopping() && last);
+                    self.write(&finished, close).await?;
+                    if close {
+                        return self.close().await;
+                    }
+                }
+                incoming = self.reader.next(&limits), if reads => match incoming {
+                    Ok(Incoming::Request(request)) => {
+                        last_read = request.head.close;
+                        self.begin(*request);
+                    }
+                    Ok(Incoming::Continue) => {
+                        self.wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    }
+                    Err(ReadEnd::Closed(_)) => return Ok(()),
+                    Err(ReadEnd::Idle) if !self.due.is_empty() => (),
+                    Err(ReadEnd::Idle) => return self.close().await,
+                    Err(ReadEnd::TooSlow) => {
+                        self.refuse(408, "head took too long");
+                        last_read = true;
+                    }
+                    Err(ReadEnd::Rejected(e)) => {
+                        log::info!(caller:% = self.from, error:% = e; "request rejected");
+                        self.refuse(status(e), &e.to_string());
+                        last_read = true;
+                    }
+                },
+                () = tokio::time::sleep(STOP_LOOK), if self.is_idle() && self.relay.is_stopping() => {
+                    tokio::time::sleep(STOP_LINGER).await;
+                    return self.close().await;
+                }
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.due.is_empty() && !self.reader.is_midway()
+    }
+
+    fn limits(&self) -> ReadLimits {
+        let limits = self.relay.view().routes.as_ref().map(|t| t.limits);
+        let limits: CallerLimits = limits.unwrap_or_default();
+        // An idle connection looks now and then whether the node is stopping.
+        ReadLimits {
+            head: limits.head_bytes,
+            body: limits.body_bytes.min(MAX_BODY),
+            head_time: limits.head_time,
+            idle: limits.idle,
+        }
+    }
+
+    fn begin(&mut self, request: Request) {
+        let relay = self.relay;
+        let from = self.from;
+        let arrived = relay.now();
+        self.due.push_back(Box::pin(async move {
+            let _held = relay.figures().begin();
+            let answer = call::handle(relay, &request, from, arrived).await;
+            Finished {
+                answer,
+                close: request.head.close,
+                to_head: request.head.method == "HEAD",
+            }
+        }));
+    }
+
+    /// Answers in its turn what could not be read, and closes.
+    fn refuse(&mut self, status: u16, reason: &str) {
+        let answer = Answer::own(status, reason);
+        self.due.push_back(Box::pin(std::future::ready(Finished {
+            answer,
+            close: true,
+            to_head: false,
+        })));
+    }
+
+    async fn write(&mut self, finished: &Finished, close: bool) -> io::Result<()> {
+        let Finished {
+            answer, to_head, ..
+        } = finished;
+        self.out.clear();
+        write::response(
+            &mut self.out,
+            answer.status,
+            &answer.headers,
+            &answer.body,
+            close,
+            *to_head,
+        );
+        self.wr.write_all(&self.out).await
+    }
+
+    /// Lets the caller read what was written before the connection goes, and drops what it still
+    /// sends: a close with unread bytes would reset the connection.
+    async fn close(&mut self) -> io::Result<()> {
+        self.wr.shutdown().await?;
+        self.reader.drain(CLOSE_WITHIN).await;
+        Ok(())
+    }
+}
+
+fn status(e: MessageError) -> u16 {
+    match e {
+        MessageError::HeadTooLong => 431,
+        MessageError::BodyTooLong => 413,
+        MessageError::Malformed | MessageError::Ambiguous => 400,
+    }
+}
--- /dev/null
+++ b/src/relay/feed.rs
@@ -0,0 +1,271 @@
+//! What a node reads from the platform's store, and how it keeps up with changes.
+//!
+//! The store is read through closures that the platform's adapter provides. A node that the store
+//! turns away asks another node to read for it.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::clock::Time;
+use crate::instance::InstanceName;
+use crate::protocol::reading::Content;
+use crate::protocol::reading::Query;
+use crate::protocol::reading::Reading;
+use crate::relay::Relay;
+
+/// Longest wait for a change in one call.
+const WATCH: Duration = Duration::from_secs(20);
+
+/// Longest time that the store may take beyond a wait.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_200);
+
+/// Shortest pause after a failed call; doubled up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time between two readings of the list.
+const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time between two readings of the list while the own target is not in it.
+const FIRST_LIST_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time for which a node that the store turned away asks other nodes first.
+const DETOUR: Duration = Duration::from_secs(2);
+
+/// Other nodes asked for one reading, at most.
+const MOST_ASKED: usize = 2;
+
+/// Why the store was not read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Changes since the given revision are no longer known.
+    #[error("history is no longer available")]
+    Compacted,
+    /// The store refused the call.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// The store could not be reached, or the connection broke.
+    #[error("unreachable: {0}")]
+    Unreachable(String),
+    /// The answer came too late.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The answer could not be understood.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+/// A reading on its way.
+pub type ReadingFuture = Pin<Box<dyn Future<Output = Result<Reading, StoreError>> + Send>>;
+
+/// Reads the store.
+#[derive(Clone)]
+pub struct StoreReader(Arc<dyn Fn(Query) -> ReadingFuture + Send + Sync>);
+
+impl fmt::Debug for StoreReader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("StoreReader").finish()
+    }
+}
+
+impl StoreReader {
+    /// Builds a reader from a function.
+    pub fn new<F>(read: F) -> StoreReader
+    where
+        F: Fn(Query) -> ReadingFuture + Send + Sync + 'static,
+    {
+        StoreReader(Arc::new(read))
+    }
+
+    /// Reads the store, within the wait of the query and a little more.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer in time, or refuses.
+    pub async fn read(&self, query: Query) -> Result<Reading, StoreError> {
+        let longest = query.wait() + ANSWER_WITHIN;
+        match timeout(longest, (self.0)(query)).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::TimedOut),
+        }
+    }
+}
+
+/// Whether the store answers this node.
+#[derive(Debug, Default)]
+pub struct StoreState {
+    failed: Option<Time>,
+    recovered: Option<Time>,
+}
+
+impl StoreState {
+    /// Returns whether other nodes are asked first.
+    pub fn prefers_detour(&self, now: Time) -> bool {
+        self.failed.is_some_and(|failed| now.since(failed) < DETOUR)
+    }
+
+    /// Notes how a call ended. Returns whether that is news.
+    pub fn note(&mut self, worked: bool, now: Time) -> bool {
+        if worked {
+            let news = self.failed.take().is_some();
+            if news {
+                self.recovered = Some(now);
+            }
+            return news;
+        }
+        self.failed.replace(now).is_none()
+    }
+
+    /// Returns whether the store failed within `span`, or came back only within it.
+    pub fn is_shaky(&self, span: Duration, now: Time) -> bool {
+        self.failed.is_some() || self.recovered.is_some_and(|at| now.since(at) < span)
+    }
+}
+
+/// A growing pause between failed calls.
+#[derive(Debug)]
+struct Pause(Duration);
+
+impl Pause {
+    fn new() -> Pause {
+        Pause(FIRST_PAUSE)
+    }
+
+    async fn wait(&mut self) {
+        tokio::time::sleep(self.0).await;
+        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Reads the store, or asks another node to, if the store does not answer this one.
+async fn read(relay: &Arc<Relay>, query: Query) -> Result<Reading, StoreError> {
+    let detour = relay.store_state().prefers_detour(relay.now());
+    if detour && let Some(reading) = ask_others(relay, &query).await {
+        return Ok(reading);
+    }
+    let result = relay.read_store(query.clone()).await;
+    match result {
+        Ok(_) | Err(StoreError::Compacted) => result,
+        Err(e) if detour => Err(e),
+        Err(e) => ask_others(relay, &query).await.ok_or(e),
+    }
+}
+
+async fn ask_others(relay: &Arc<Relay>, query: &Query) -> Option<Reading> {
+    for address in relay.some_peers(MOST_ASKED) {
+        let longest = query.wait() + ANSWER_WITHIN;
+        let asked = relay.links().read(address, query.clone(), longest).await;
+        if asked.is_some() {
+            return asked;
+        }
+    }
+    None
+}
+
+/// Keeps the configuration up to date for as long as the process runs.
+pub async fn follow_routes(relay: Arc<Relay>) {
+    let mut revision = None;
+    let mut pause = Pause::new();
+    loop {
+        let query = match revision {
+            None => Query::Routes,
+            Some(revision) => Query::RoutesAfter {
+                revision,
+                wait_ms: WATCH.as_millis() as u64,
+            },
+        };
+        match read(&relay, query).await {
+            Ok(reading) => {
+                pause = Pause::new();
+                revision = Some(reading.revision);
+                if let Content::Routes(Some(table)) = reading.content {
+                    relay.take_routes(table.indexed(), reading.revision);
+                }
+                if !relay.has_routes() {
+                    revision = None;
+                    pause.wait().await;
+                }
+            }
+            Err(e) => {
+                if e == StoreError::Compacted {
+                    revision = None;
+                }
+                log::debug!("configuration: {e}");
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Keeps the list of targets up to date for as long as the process runs.
+pub async fn follow_targets(relay: Arc<Relay>) {
+    let mut pause = Pause::new();
+    loop {
+        match read(&relay, Query::Targets).await {
+            Ok(reading) => {
+                pause = Pause::new();
+                if let Content::Targets(list) = reading.content {
+                    relay.take_targets(list, reading.revision);
+                }
+                let period = match relay.own_target().is_some() {
+                    true => LIST_PERIOD,
+                    false => FIRST_LIST_PERIOD,
+                };
+                tokio::time::sleep(period).await;
+            }
+            Err(e) => {
+                log::debug!("list of targets: {e}");
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Watches the entry of the own target, because this node alone must know in time that it leaves.
+pub async fn follow_own(relay: Arc<Relay>) {
+    let mut pause = Pause::new();
+    let mut followed: Option<(InstanceName, u64)> = None;
+    loop {
+        let Some(own) = relay.own_target() else {
+            followed = None;
+            relay.own_changed().await;
+            continue;
+        };
+        let name = own.instance.name.clone();
+        let query = match &followed {
+            Some((known, revision)) if *known == name => Query::TargetAfter {
+                name: name.clone(),
+                revision: *revision,
+                wait_ms: WATCH.as_millis() as u64,
+            },
+            _ => Query::Target(name.clone()),
+        };
+        let outcome = tokio::select! {
+            outcome = read(&relay, query) => outcome,
+            () = relay.own_changed() => continue,
+        };
+        match outcome {
+            Ok(reading) => {
+                pause = Pause::new();
+                followed = Some((name.clone(), reading.revision));
+                if let Content::Target(news) = reading.content {
+                    relay.take_own(&name, news, reading.revision);
+                }
+            }
+            Err(e) => {
+                if e == StoreError::Compacted {
+                    followed = None;
+                }
+                log::debug!("own entry: {e}");
+                pause.wait().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/link.rs
@@ -0,0 +1,399 @@
+//! Connections to other nodes: many requests on each, answered in any order.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+use crate::coordination::poison::CrashReport;
+use crate::error::NotRunKind;
+use crate::error::UnknownKind;
+use crate::protocol::frame;
+use crate::protocol::frame::Ended;
+use crate::protocol::frame::FRAME_VERSION;
+use crate::protocol::frame::Frame;
+use crate::protocol::frame::LoadReport;
+use crate::protocol::frame::RunRequest;
+use crate::protocol::reading::Query;
+use crate::protocol::reading::Reading;
+use crate::relay::socket;
+
+/// Longest wait for a connection to another node.
+const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+
+/// Time without a byte after which a node that owes an answer is asked for a sign of life.
+const PING_AFTER: Duration = Duration::from_millis(400);
+
+/// Time without a byte, while an answer is owed, after which the connection counts as broken.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Time after which an unused connection is closed.
+const UNUSED_AFTER: Duration = Duration::from_secs(60);
+
+/// Time for which a node that could not be reached is not tried again.
+const UNREACHABLE_FOR: Duration = Duration::from_millis(250);
+
+/// Messages that wait to be written on one connection, at most.
+const MAX_WAITING: usize = 4_096;
+
+/// Bytes gathered for one write.
+const WRITE_BATCH: usize = 64 * 1024;
+
+/// Reply to a request, with the load of the instance that gave it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// How the request ended.
+    pub ended: Ended,
+    /// Load of the instance, if it replied itself.
+    pub load: Option<LoadReport>,
+}
+
+impl Reply {
+    fn not_run(kind: NotRunKind) -> Reply {
+        let ended = Ended::NotRun {
+            kind,
+            reached: false,
+        };
+        Reply { ended, load: None }
+    }
+
+    fn unknown(kind: UnknownKind) -> Reply {
+        let ended = Ended::Unknown(kind);
+        Reply { ended, load: None }
+    }
+}
+
+enum Order {
+    Run(Box<RunRequest>, oneshot::Sender<Reply>),
+    Read(Query, oneshot::Sender<Option<Reading>>),
+    Cancel(u32),
+    Tell(Frame),
+}
+
+/// One connection, as its users see it.
+#[derive(Clone)]
+struct Link {
+    orders: mpsc::Sender<Order>,
+}
+
+/// The connections of a node to all others.
+pub struct Links {
+    incarnation: u64,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+    unreachable: Mutex<HashMap<SocketAddr, Instant>>,
+    numbers: std::sync::atomic::AtomicU32,
+}
+
+impl Links {
+    /// Builds the connections of a node in the given incarnation; each is opened when it is used.
+    pub fn new(incarnation: u64) -> Links {
+        Links {
+            incarnation,
+            links: Mutex::default(),
+            unreachable: Mutex::default(),
+            numbers: std::sync::atomic::AtomicU32::new(1),
+        }
+    }
+
+    /// Asks the node at `address` to run a request. Dropping the future cancels the request.
+    pub async fn run(self: &Arc<Links>, address: SocketAddr, mut req: RunRequest) -> Reply {
+        if self.is_unreachable(address) {
+            return Reply::not_run(NotRunKind::TargetUnreachable);
+        }
+        let number = self.next_number();
+        req.number = number;
+        let link = self.link(address);
+        let (tx, rx) = oneshot::channel();
+        let order = Order::Run(Box::new(req), tx);
+        if link.orders.try_send(order).is_err() {
+            return Reply::not_run(NotRunKind::TargetUnreachable);
+        }
+        let mut guard = CancelGuard {
+            link,
+            number,
+            armed: true,
+        };
+        let reply = rx.await;
+        guard.armed = false;
+        // The task of the connection replies before it ends, unless it never took the order.
+        reply.unwrap_or_else(|_| Reply::not_run(NotRunKind::TargetUnreachable))
+    }
+
+    /// Asks the node at `address` to read the store. Returns nothing if that fails in any way.
+    pub async fn read(
+        self: &Arc<Links>,
+        address: SocketAddr,
+        query: Query,
+        longest: Duration,
+    ) -> Option<Reading> {
+        if self.is_unreachable(address) {
+            return None;
+        }
+        let (tx, rx) = oneshot::channel();
+        let link = self.link(address);
+        link.orders.try_send(Order::Read(query, tx)).ok()?;
+        timeout(longest, rx).await.ok()?.ok()?
+    }
+
+    /// Tells all connected nodes.
+    pub fn tell_all(&self, frame: &Frame) {
+        let links: Vec<Link> = self.lock().values().cloned().collect();
+        for link in links {
+            if link.orders.try_send(Order::Tell(frame.clone())).is_err() {
+                log::debug!("a node is not told, its connection is closed or full");
+            }
+        }
+    }
+
+    /// Tells the node at `address`, over a new connection if need be.
+    pub fn tell(self: &Arc<Links>, address: SocketAddr, report: &CrashReport) {
+        let order = Order::Tell(Frame::Crash(report.clone()));
+        if self.link(address).orders.try_send(order).is_err() {
+            log::warn!(peer:% = address; "crash report not sent, the connection is closed or full");
+        }
+    }
+
+    /// Returns whether a connection to `address` failed just now.
+    pub fn is_unreachable(&self, address: SocketAddr) -> bool {
+        let failed = self.unreachable.lock().unwrap_or_else(|p| p.into_inner());
+        failed.get(&address).is_some_and(|at| at.elapsed() < UNREACHABLE_FOR)
+    }
+
+    fn next_number(&self) -> u32 {
+        let order = std::sync::atomic::Ordering::Relaxed;
+        self.numbers.fetch_add(1, order)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Link>> {
+        self.links.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    fn link(self: &Arc<Links>, address: SocketAddr) -> Link {
+        let mut links = self.lock();
+        if let Some(link) = links.get(&address)
+            && !link.orders.is_closed()
+        {
+            return link.clone();
+        }
+        let (tx, rx) = mpsc::channel(MAX_WAITING);
+        let link = Link { orders: tx };
+        links.insert(address, link.clone());
+        let owner = self.clone();
+        tokio::spawn(async move { owner.serve(address, rx).await });
+        link
+    }
+
+    async fn serve(self: Arc<Links>, address: SocketAddr, mut orders: mpsc::Receiver<Order>) {
+        let connected = timeout(CONNECT_WITHIN, socket::connect(address)).await;
+        let stream = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(stream) => stream,
+            Err(e) => {
+                log::info!(peer:% = address, error:% = e; "node unreachable");
+                self.failed(address);
+                return refuse_all(orders);
+            }
+        };
+        self.unreachable.lock().unwrap_or_else(|p| p.into_inner()).remove(&address);
+        log::debug!(peer:% = address; "node connected");
+        let (rd, wr) = stream.into_split();
+        let mut open = Open::default();
+        let end = open.run(self.incarnation, rd, wr, &mut orders).await;
+        if let Err(e) = end {
+            log::info!(peer:% = address, error:% = e, owed = open.runs.len(); "node lost");
+            self.failed(address);
+        }
+        open.lose_all();
+        refuse_all(orders);
+    }
+
+    fn failed(&self, address: SocketAddr) {
+        let mut failed = self.unreachable.lock().unwrap_or_else(|p| p.into_inner());
+        failed.retain(|_, at| at.elapsed() < UNREACHABLE_FOR);
+        failed.insert(address, Instant::now());
+    }
+}
+
+impl std::fmt::Debug for Links {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Links").finish_non_exhaustive()
+    }
+}
+
+/// Orders that were not begun when the connection ended were not sent.
+fn refuse_all(mut orders: mpsc::Receiver<Order>) {
+    orders.close();
+    while let Ok(order) = orders.try_recv() {
+        // A receiver that has gone does not wait for the reply.
+        match order {
+            Order::Run(_, tx) => drop(tx.send(Reply::not_run(NotRunKind::TargetUnreachable))),
+            Order::Read(_, tx) => drop(tx.send(None)),
+            Order::Cancel(_) | Order::Tell(_) => (),
+        }
+    }
+}
+
+/// Cancels a request whose sender stopped waiting.
+struct CancelGuard {
+    link: Link,
+    number: u32,
+    armed: bool,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if self.armed && self.link.orders.try_send(Order::Cancel(self.number)).is_err() {
+            log::debug!("cancel not sent, the connection is closed or full");
+        }
+    }
+}
+
+/// What an open connection waits for.
+#[derive(Default)]
+struct Open {
+    runs: HashMap<u32, oneshot::Sender<Reply>>,
+    reads: HashMap<u32, oneshot::Sender<Option<Reading>>>,
+    next_read: u32,
+}
+
+impl Open {
+    async fn run(
+        &mut self,
+        incarnation: u64,
+        rd: OwnedReadHalf,
+        mut wr: OwnedWriteHalf,
+        orders: &mut mpsc::Receiver<Order>,
+    ) -> io::Result<()> {
+        let mut frames = FramedRead::new(rd, frame::codec());
+        let mut out = BytesMut::new();
+        put(&mut out, &Frame::Hello {
+            version: FRAME_VERSION,
+            incarnation,
+        });
+        let mut heard = Instant::now();
+        let mut pinged = false;
+        loop {
+            if !out.is_empty() {
+                // A node that takes nothing for this long owes answers all the while.
+                match timeout(SILENT_AFTER, wr.write_all(&out)).await {
+                    Ok(written) => written?,
+                    Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+                }
+                out.clear();
+            }
+            let owes = !self.runs.is_empty() || !self.reads.is_empty();
+            let (span, due) = match (owes, pinged) {
+                (true, false) => (PING_AFTER, Due::Ping),
+                (true, true) => (SILENT_AFTER, Due::Silent),
+                (false, _) => (UNUSED_AFTER, Due::Unused),
+            };
+            tokio::select! {
+                frame = frames.next() => {
+                    let bytes = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
+                    heard = Instant::now();
+                    pinged = false;
+                    self.take(&bytes)?;
+                }
+                order = orders.recv() => {
+                    let Some(order) = order else { return Ok(()) };
+                    if !owes {
+                        heard = Instant::now();
+                    }
+                    self.order(order, &mut out);
+                    while out.len() < WRITE_BATCH && let Ok(order) = orders.try_recv() {
+                        self.order(order, &mut out);
+                    }
+                }
+                () = tokio::time::sleep_until(heard + span) => match due {
+                    Due::Ping => {
+                        pinged = true;
+                        put(&mut out, &Frame::Ping);
+                    }
+                    Due::Silent => return Err(io::ErrorKind::TimedOut.into()),
+                    Due::Unused => return Ok(()),
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, order: Order, out: &mut BytesMut) {
+        match order {
+            Order::Run(req, tx) => {
+                if tx.is_closed() {
+                    return;
+                }
+                self.runs.insert(req.number, tx);
+                put(out, &Frame::Run(req));
+            }
+            Order::Read(query, tx) => {
+                self.next_read = self.next_read.wrapping_add(1);
+                let number = self.next_read;
+                self.reads.insert(number, tx);
+                put(out, &Frame::Read { number, query });
+            }
+            Order::Cancel(number) => {
+                if self.runs.remove(&number).is_some() {
+                    put(out, &Frame::Cancel(number));
+                }
+            }
+            Order::Tell(frame) => put(out, &frame),
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let frame = frame::decode(bytes).map_err(io::Error::other)?;
+        match frame {
+            Frame::Reply {
+                number,
+                ended,
+                load,
+            } => {
+                if let Some(tx) = self.runs.remove(&number) {
+                    let load = Some(load);
+                    // A receiver that has gone does not wait for the reply.
+                    drop(tx.send(Reply { ended, load }));
+                }
+            }
+            Frame::ReadReply { number, reading } => {
+                if let Some(tx) = self.reads.remove(&number) {
+                    drop(tx.send(reading));
+                }
+            }
+            _ => (),
+        }
+        Ok(())
+    }
+
+    /// Whatever was sent may have run.
+    fn lose_all(&mut self) {
+        for (_, tx) in self.runs.drain() {
+            drop(tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
+        }
+        self.reads.clear();
+    }
+}
+
+enum Due {
+    Ping,
+    Silent,
+    Unused,
+}
+
+fn put(out: &mut BytesMut, frame: &Frame) {
+    if let Err(e) = frame::append(out, frame) {
+        log::error!("a message for another node was not encoded: {e}");
+    }
+}
--- /dev/null
+++ b/src/relay/run.rs
@@ -0,0 +1,239 @@
+//! Runs requests at the target beside this node.
+//!
+//! Every request for the target passes here, from this node and from others. So this node knows
+//! exactly what runs, and alone says whether something was not run.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::call::Priority;
+use crate::clock::Time;
+use crate::coordination::admission::Ending;
+use crate::coordination::poison::Verdict;
+use crate::coordination::route;
+use crate::error::NotRunKind;
+use crate::error::UnknownKind;
+use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestParts;
+use crate::http1::Header;
+use crate::instance::InstanceName;
+use crate::protocol::frame;
+use crate::protocol::frame::Ended;
+use crate::protocol::frame::RunRequest;
+use crate::relay::Relay;
+use crate::relay::intake::Ask;
+use crate::relay::intake::Permit;
+use crate::relay::target::Exchange;
+use crate::relay::target::ExchangeEnd;
+use crate::relay::target::TargetAnswer;
+
+/// Pause after a connection could not be accepted.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Least time left with which a request is still handed to the target.
+const LEAST_REMAINING: Duration = Duration::from_millis(5);
+
+/// Runs a request at the own target. Dropping the future ends an idempotent run; any other goes on
+/// to its end, because stopping it would leave its outcome unknown.
+pub async fn run_here(relay: &Arc<Relay>, req: RunRequest, arrived: Time) -> Ended {
+    let deadline = arrived.plus(Duration::from_millis(u64::from(req.remaining_ms)));
+    let started = match start(relay, &req, deadline).await {
+        Ok(started) => started,
+        Err(kind) => {
+            log::info!(
+                request:% = req.id, kind:% = kind, target:% = req.target,
+                percent = relay.intake().percent();
+                "not run here"
+            );
+            return Ended::NotRun {
+                kind,
+                reached: false,
+            };
+        }
+    };
+    if req.idempotent {
+        return exchange(relay.clone(), req, started, deadline).await;
+    }
+    let run = tokio::spawn(exchange(relay.clone(), req, started, deadline));
+    run.await.unwrap_or_else(|e| {
+        log::error!("a run ended without an outcome: {e}");
+        Ended::Unknown(UnknownKind::ConnectionLost)
+    })
+}
+
+struct Started {
+    permit: Permit,
+    fingerprint: Fingerprint,
+    queued: Duration,
+    _running: Running,
+}
+
+/// Counts a run of a route for as long as it lasts.
+struct Running {
+    relay: Arc<Relay>,
+    route: String,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.relay.decisions().fanout.ended(&self.route);
+    }
+}
+
+async fn start(relay: &Arc<Relay>, req: &RunRequest, deadline: Time) -> Result<Started, NotRunKind> {
+    relay.check_target(&req.target)?;
+    let fingerprint = fingerprint(req);
+    let asked = relay.now();
+    if relay.decisions().suspects.verdict(asked, fingerprint) == Verdict::Quarantined {
+        return Err(NotRunKind::Quarantined);
+    }
+    let priority = match req.subcall {
+        true => Priority::Critical,
+        false => route::priority(req.rank),
+    };
+    let ask = Ask {
+        priority,
+        idempotent: req.idempotent,
+        deadline,
+    };
+    let permit = relay.intake().admit(ask).await?;
+    // The target may have begun to leave while the request waited.
+    relay.check_target(&req.target)?;
+    let now = relay.now();
+    if deadline.since(now) < LEAST_REMAINING {
+        return Err(NotRunKind::DeadlineInQueue);
+    }
+    let route: Arc<str> = Arc::from(req.route.as_str());
+    relay.decisions().fanout.began(&route);
+    Ok(Started {
+        permit,
+        fingerprint,
+        queued: now.since(asked),
+        _running: Running {
+            relay: relay.clone(),
+            route: req.route.clone(),
+        },
+    })
+}
+
+async fn exchange(relay: Arc<Relay>, req: RunRequest, mut started: Started, deadline: Time) -> Ended {
+    let began = relay.now();
+    let remaining = deadline.since(began);
+    let exchange = Exchange {
+        headers: headers(&relay, &req, remaining),
+        id: req.id,
+        method: req.method,
+        path: req.path,
+        host: req.host,
+        body: req.body,
+        idempotent: req.idempotent,
+    };
+    let run = relay.target().run(relay.target_address(), &exchange);
+    // The target ends its work at the deadline and says so; its word takes a moment to arrive.
+    let end = tokio::time::timeout(remaining + LEAST_REMAINING * 10, run).await;
+    let took = relay.now().since(began);
+    let ended = match end {
+        Ok(end) => conclude(&relay, &mut started, &req.target, end),
+        Err(_) => Ended::Unknown(UnknownKind::Deadline),
+    };
+    relay.figures().run(&req.route, &ended, started.queued, took);
+    log::info!(
+        request:% = exchange.id, route:% = req.route, target:% = req.target,
+        outcome:% = outcome(&ended), queued_ms = started.queued.as_millis() as u64,
+        took_ms = took.as_millis() as u64, remaining_ms = remaining.as_millis() as u64;
+        "run at target"
+    );
+    ended
+}
+
+fn conclude(
+    relay: &Arc<Relay>,
+    started: &mut Started,
+    target: &InstanceName,
+    end: ExchangeEnd,
+) -> Ended {
+    match end {
+        ExchangeEnd::Answered(answer) => {
+            started.permit.ended(Ending::Ok);
+            relay.decisions().suspects.completed(started.fingerprint);
+            relay.note_answer(answer.closes);
+            answered(relay, answer)
+        }
+        ExchangeEnd::Refused(answer) => {
+            started.permit.ended(Ending::Failed);
+            relay.note_answer(answer.closes);
+            Ended::NotRun {
+                kind: NotRunKind::TargetRefused,
+                reached: true,
+            }
+        }
+        ExchangeEnd::Unsent(e) => {
+            started.permit.ended(Ending::Failed);
+            relay.target_down(target, e.kind() == io::ErrorKind::ConnectionRefused);
+            Ended::NotRun {
+                kind: NotRunKind::TargetUnreachable,
+                reached: false,
+            }
+        }
+        ExchangeEnd::Lost { kind, silent } => {
+            started.permit.ended(Ending::Failed);
+            if silent {
+                let now = relay.now();
+                relay.decisions().crashes.broke(started.fingerprint, now);
+            }
+            Ended::Unknown(kind)
+        }
+    }
+}
+
+/// A status that promises "not run" is only passed on if the target states it in its own way.
+fn answered(relay: &Relay, answer: TargetAnswer) -> Ended {
+    if matches!(answer.status, 408 | 421 | 429 | 503) {
+        return Ended::Unknown(UnknownKind::AnswerTruncated);
+    }
+    let dialect = relay.dialect();
+    let kept: Vec<Header> = answer
+        .headers
+        .into_iter()
+        .filter(|(name, _)| !dialect.is_for_node(name))
+        .collect();
+    Ended::Answered {
+        status: answer.status,
+        headers: frame::to_wire(&kept),
+        body: answer.body,
+    }
+}
+
+fn headers(relay: &Relay, req: &RunRequest, remaining: Duration) -> Vec<Header> {
+    let dialect = relay.dialect();
+    let mut headers = frame::from_wire(req.headers.clone());
+    let own = [
+        (dialect.request_id, req.id.clone()),
+        (dialect.deadline_ms, remaining.as_millis().to_string()),
+        (dialect.target_instance, req.target.to_string()),
+        (dialect.caller_service, req.caller_service.clone()),
+    ];
+    headers.extend(own.map(|(name, value)| (name.to_owned(), value.into_bytes())));
+    headers
+}
+
+fn fingerprint(req: &RunRequest) -> Fingerprint {
+    let parts = RequestParts {
+        caller: "",
+        service: "",
+        method: &req.method,
+        path: &req.path,
+        headers: &[],
+        body: &req.body,
+    };
+    parts.fingerprint()
+}
+
+fn outcome(ended: &Ended) -> String {
+    match ended {
+        Ended::Answered { status, .. } => format!("answered-{status}"),
+        Ended::NotRun { kind, .. } => format!("not-run-{kind}"),
+        Ended::Unknown(kind) => format!("unknown-{kind}"),
+    }
+}
--- /dev/null
+++ b/src/relay/view.rs
@@ -0,0 +1,101 @@
+//! What a node knows of the fleet.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::coordination::route::RouteTable;
+use crate::instance::Instance;
+use crate::instance::InstanceName;
+use crate::instance::InstanceState;
+use crate::protocol::reading::Listed;
+
+/// Time for which a target that is missing from the list is still used. The node beside it refuses
+/// if it has left; a list that is old or short takes nothing away at once.
+const MISSING_KEPT: Duration = Duration::from_millis(2_500);
+
+/// The fleet as this node sees it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Configuration in force.
+    pub routes: Option<Arc<RouteTable>>,
+    /// Listed targets, sorted by name.
+    pub targets: Vec<Listed>,
+    /// The target beside this node.
+    pub own: Option<Listed>,
+    /// Whether that target is leaving, which it stays for the rest of its life.
+    pub own_leaving: bool,
+    /// Targets that are missing from the list, and since when.
+    pub missing: HashMap<InstanceName, Time>,
+}
+
+impl View {
+    /// Returns the name of the own target.
+    pub fn own_name(&self) -> Option<&InstanceName> {
+        self.own.as_ref().map(|own| &own.instance.name)
+    }
+
+    /// Returns whether the own target is the same, and in the same life, as in `other`.
+    pub fn has_same_own(&self, other: &View) -> bool {
+        let life = |view: &View| view.own.as_ref().map(|own| (own.instance.name.clone(), own.born));
+        life(self) == life(other)
+    }
+
+    /// Returns the instances that requests may go to, and those that are leaving.
+    pub fn instances(&self) -> Vec<Instance> {
+        self.targets.iter().map(|t| t.instance.clone()).collect()
+    }
+
+    /// Merges a list. `own` is the address of the own target; with `shaky` the store failed just
+    /// now, and a missing entry says nothing.
+    pub fn merge(&mut self, list: Vec<Listed>, own: SocketAddr, shaky: bool, now: Time) {
+        let mut known: HashMap<InstanceName, Listed> = self
+            .targets
+            .drain(..)
+            .map(|t| (t.instance.name.clone(), t))
+            .collect();
+        let mut targets: Vec<Listed> = Vec::with_capacity(list.len());
+        for mut listed in list {
+            if let Some(old) = known.remove(&listed.instance.name) {
+                keep_leaving(&old, &mut listed);
+            }
+            self.missing.remove(&listed.instance.name);
+            targets.push(listed);
+        }
+        for (name, old) in known {
+            let since = *self.missing.entry(name.clone()).or_insert(now);
+            let replaced = targets.iter().any(|t| t.instance.ingress == old.instance.ingress);
+            let kept = shaky || now.since(since) < MISSING_KEPT;
+            match kept && !replaced {
+                true => targets.push(old),
+                false => drop(self.missing.remove(&name)),
+            }
+        }
+        targets.sort_by(|a, b| a.instance.name.cmp(&b.instance.name));
+        self.targets = targets;
+        self.find_own(own);
+    }
+
+    /// The newest of the targets at the own address is the one that listens there.
+    fn find_own(&mut self, address: SocketAddr) {
+        let at_own = self.targets.iter().filter(|t| t.instance.ingress == address);
+        let Some(newest) = at_own.max_by_key(|t| t.born).cloned() else {
+            return;
+        };
+        let same = self.own.as_ref().is_some_and(|own| {
+            own.instance.name == newest.instance.name && own.born == newest.born
+        });
+        let leaving = newest.instance.state == InstanceState::Leaving;
+        self.own_leaving = leaving || (same && self.own_leaving);
+        self.own = Some(newest);
+    }
+}
+
+/// A target that was leaving stays so, whatever an older list says.
+fn keep_leaving(old: &Listed, new: &mut Listed) {
+    if old.born == new.born && old.instance.state == InstanceState::Leaving {
+        new.instance.state = InstanceState::Leaving;
+    }
+}
