Learn configurations while watches are silent; read nothing late while stopping

Waits are now drawn anew, short in a small fleet, and versions travel with requests, replies and a message to connected nodes. A stopping node reads on only where nothing is in progress.

--- a/src/coordination/fanout.rs
+++ b/src/coordination/fanout.rs
@@ -85,7 +85,10 @@
         if parent.runs < MIN_RUNS {
             return Vec::new();
         }
-        let made = parent.calls.iter().filter(|(_, calls)| **calls / parent.runs >= MIN_CALLS);
+        let made = parent
+            .calls
+            .iter()
+            .filter(|(_, calls)| **calls / parent.runs >= MIN_CALLS);
         made.map(|(child, _)| child.clone()).collect()
     }
 
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -109,7 +109,9 @@
     };
     let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut req = httparse::Request::new(&mut slots);
-    let status = req.parse(&buf[..len]).map_err(|_| MessageError::Malformed)?;
+    let status = req
+        .parse(&buf[..len])
+        .map_err(|_| MessageError::Malformed)?;
     if status != httparse::Status::Complete(len) {
         return Err(MessageError::Malformed);
     }
@@ -221,7 +223,12 @@
         Ok(raw)
     }
 
-    fn note(&mut self, name: &str, value: &[u8], named: &mut Vec<String>) -> Result<(), MessageError> {
+    fn note(
+        &mut self,
+        name: &str,
+        value: &[u8],
+        named: &mut Vec<String>,
+    ) -> Result<(), MessageError> {
         match name {
             "host" => self.note_host(text(value)?),
             "content-length" => self.note_framing(length(text(value)?)?),
@@ -238,7 +245,9 @@
                 Ok(())
             }
             "keep-alive" => {
-                let stated = text(value)?.split(',').find_map(|p| p.trim().strip_prefix("timeout="));
+                let stated = text(value)?
+                    .split(',')
+                    .find_map(|p| p.trim().strip_prefix("timeout="));
                 self.keep_alive_s = stated.and_then(|s| s.parse().ok());
                 Ok(())
             }
--- a/src/http1/write.rs
+++ b/src/http1/write.rs
@@ -35,7 +35,9 @@
     to_head: bool,
 ) {
     let reason = StatusCode::from_u16(status).ok();
-    let reason = reason.and_then(|s| s.canonical_reason()).unwrap_or("Status");
+    let reason = reason
+        .and_then(|s| s.canonical_reason())
+        .unwrap_or("Status");
     let _ = write!(out, "HTTP/1.1 {status} {reason}\r\n");
     headers.iter().for_each(|h| header(out, &h.0, &h.1));
     if status != 204 && status != 304 {
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -77,7 +77,8 @@
     }
     dispatch
         .chain(fern::Output::call(move |record| {
-            taken.push(record.level(), || line(record, SystemTime::now()));
+            let about_request = record.key_values().get(Key::from_str(REQUEST)).is_some();
+            taken.push(about_request, || line(record, SystemTime::now()));
         }))
         .apply()?;
     let written = lines.clone();
@@ -96,8 +97,8 @@
 /// Bytes of lines that wait to be written, at most.
 const MAX_WAITING: usize = 512 * 1024;
 
-/// Lines at level `info` and below within one flush period, at most. Warnings and errors go beyond.
-const MAX_LINES: usize = 250;
+/// Lines about single requests within one flush period, at most. All other lines go beyond.
+const MAX_REQUEST_LINES: usize = 250;
 
 /// Writes the remaining lines when it is dropped.
 #[derive(Debug)]
@@ -115,23 +116,22 @@
 #[derive(Debug, Default)]
 struct Waiting {
     text: String,
-    lines: usize,
+    request_lines: usize,
     left_out: u64,
 }
 
 impl Lines {
-    fn push<F>(&self, level: log::Level, line: F)
+    fn push<F>(&self, about_request: bool, line: F)
     where
         F: FnOnce() -> String,
     {
         let mut waiting = self.0.lock().unwrap_or_else(|p| p.into_inner());
-        let urgent = level <= log::Level::Warn;
         let full = waiting.text.len() >= MAX_WAITING;
-        if full || (waiting.lines >= MAX_LINES && !urgent) {
+        if full || (about_request && waiting.request_lines >= MAX_REQUEST_LINES) {
             waiting.left_out += 1;
             return;
         }
-        waiting.lines += 1;
+        waiting.request_lines += usize::from(about_request);
         waiting.text.push_str(&line());
         waiting.text.push('\n');
     }
@@ -144,7 +144,9 @@
         let mut text = waiting.text;
         if waiting.left_out > 0 {
             let left_out = waiting.left_out;
-            text.push_str(&format!("{{\"message\":\"lines left out\",\"lines\":{left_out}}}\n"));
+            text.push_str(&format!(
+                "{{\"message\":\"lines left out\",\"lines\":{left_out}}}\n"
+            ));
         }
         // Nothing can be said about a standard output that cannot be written.
         let _ = std::io::stdout().write_all(text.as_bytes());
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -32,6 +32,8 @@
     pub target: InstanceName,
     /// Name of the route at the sender.
     pub route: String,
+    /// Version of the configuration in force at the sender.
+    pub version: u64,
     /// Time left until nobody waits for the answer, in milliseconds.
     pub remaining_ms: u32,
     /// Importance, 0 is the highest.
@@ -88,6 +90,8 @@
     pub percent: u16,
     /// Gate for the route that was called, as one byte.
     pub gate: u8,
+    /// Version of the configuration in force there.
+    pub version: u64,
 }
 
 /// How a request ended.
@@ -143,6 +147,8 @@
     Pong,
     /// The sender is stopping and takes no new requests.
     Leaving,
+    /// Version of the configuration that the sender has taken into force.
+    Version(u64),
     /// A target crashed while it ran a request.
     Crash(CrashReport),
     /// Asks the receiver to read the platform's store for the sender.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -9,9 +9,9 @@
 use crate::clock::Time;
 use crate::coordination::comeback;
 use crate::coordination::pressure::Gate;
+use crate::coordination::route;
 use crate::coordination::route::Route;
 use crate::coordination::route::RouteTable;
-use crate::coordination::route;
 use crate::coordination::routing::Choice;
 use crate::coordination::routing::Pick;
 use crate::coordination::routing::Place;
@@ -65,7 +65,8 @@
 
     fn with_retry_after(mut self, wait: Duration) -> Answer {
         let value = format!("{:.3}", wait.as_secs_f64());
-        self.headers.push(("Retry-After".to_owned(), value.into_bytes()));
+        self.headers
+            .push(("Retry-After".to_owned(), value.into_bytes()));
         self
     }
 }
@@ -91,7 +92,9 @@
         return Answer::own(400, "request id is missing");
     };
     let stated = request.head.header(dialect.deadline_ms);
-    let stated = stated.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let stated = stated
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis);
     let Some(table) = relay.view().routes.clone() else {
         let wait = comeback::when_not_ready(stated.unwrap_or_default());
         log::info!(request:% = id, kind:% = NotRunKind::NotReady; "refused");
@@ -109,11 +112,16 @@
         return Answer::own(503, "route without service");
     };
     let answer = call.answer().await;
-    relay.figures().request(&route.name, answer.status, relay.now().since(arrived));
+    relay
+        .figures()
+        .request(&route.name, answer.status, relay.now().since(arrived));
     answer
 }
 
-#[expect(clippy::too_many_arguments, reason = "each is a different input of the decision")]
+#[expect(
+    clippy::too_many_arguments,
+    reason = "each is a different input of the decision"
+)]
 fn decide<'a>(
     relay: &'a Arc<Relay>,
     _table: &RouteTable,
@@ -220,8 +228,7 @@
 
     fn may_send_again(&self, sends: u32) -> bool {
         let now = self.relay.now();
-        sends < self.route.max_attempts
-            && self.relay.decisions().spend.take(&self.service, now)
+        sends < self.route.max_attempts && self.relay.decisions().spend.take(&self.service, now)
     }
 
     fn choose(&self, tried: &[InstanceName]) -> Choice {
@@ -293,12 +300,16 @@
     fn run_request(&self, pick: &Pick, now: Time) -> RunRequest {
         let dialect = self.relay.dialect();
         let head = &self.request.head;
-        let forwarded = head.headers.iter().filter(|(n, _)| !dialect.is_set_by_node(n));
+        let forwarded = head
+            .headers
+            .iter()
+            .filter(|(n, _)| !dialect.is_set_by_node(n));
         let forwarded: Vec<Header> = forwarded.cloned().collect();
         RunRequest {
             number: 0,
             target: pick.to.name.clone(),
             route: self.route.name.to_string(),
+            version: self.relay.version(),
             remaining_ms: self.deadline.since(now).as_millis() as u32,
             rank: self.route.rank,
             idempotent: self.route.idempotent,
@@ -401,6 +412,9 @@
             bytes,
             ..Observation::of(verdict, now.since(self.since))
         };
+        if let Some(load) = reply.load {
+            self.call.relay.hear_version(load.version);
+        }
         let mut decisions = self.call.relay.decisions();
         decisions.router.answered(self.pick, &seen, now);
         if let Some(LoadReport { gate, .. }) = reply.load {
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -22,6 +22,7 @@
 use crate::http1::reader::Request;
 use crate::http1::reader::RequestReader;
 use crate::http1::write;
+use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::call;
 use crate::relay::call::Answer;
@@ -37,11 +38,8 @@
 /// Time that a caller gets to read its last answer before the connection is cut.
 const CLOSE_WITHIN: Duration = Duration::from_millis(500);
 
-/// Time between two looks whether the node is stopping.
-const STOP_LOOK: Duration = Duration::from_millis(100);
-
 /// Time for which a stopping node keeps an idle connection open, for a request on its way.
-const STOP_LINGER: Duration = Duration::from_millis(250);
+const STOP_LINGER: Duration = Duration::from_millis(500);
 
 /// An answer that is due on a connection.
 type Due<'a> = Pin<Box<dyn Future<Output = Finished> + Send + 'a>>;
@@ -98,15 +96,27 @@
 
 impl Connection<'_> {
     async fn serve(&mut self) -> io::Result<()> {
+        let mut phases = self.relay.phases();
         let mut last_read = false;
         loop {
+            let phase = *phases.borrow_and_update();
             let limits = self.limits();
-            let reads = !last_read && self.due.len() < MAX_PIPELINED;
+            // A stopping node reads on only where nothing is in progress, and then one request.
+            let reads = match phase {
+                Phase::Serving => !last_read && self.due.len() < MAX_PIPELINED,
+                Phase::Leaving => !last_read && self.due.is_empty(),
+                Phase::Closing => false,
+            };
+            let lingers = match (phase, self.due.is_empty() && !last_read) {
+                (Phase::Closing, true) => return self.close().await,
+                (Phase::Leaving, true) if !self.reader.is_midway() => true,
+                _ => false,
+            };
             tokio::select! {
                 biased;
                 Some(finished) = self.due.next(), if !self.due.is_empty() => {
                     let last = self.due.is_empty();
-                    let close = finished.close || (self.relay.is_stopping() && last);
+                    let close = finished.close || (phase != Phase::Serving && last);
                     self.write(&finished, close).await?;
                     if close {
                         return self.close().await;
@@ -133,22 +143,15 @@
                         last_read = true;
                     }
                 },
-                () = tokio::time::sleep(STOP_LOOK), if self.is_idle() && self.relay.is_stopping() => {
-                    tokio::time::sleep(STOP_LINGER).await;
-                    return self.close().await;
-                }
+                Ok(()) = phases.changed() => (),
+                () = tokio::time::sleep(STOP_LINGER), if lingers => return self.close().await,
             }
         }
     }
 
-    fn is_idle(&self) -> bool {
-        self.due.is_empty() && !self.reader.is_midway()
-    }
-
     fn limits(&self) -> ReadLimits {
         let limits = self.relay.view().routes.as_ref().map(|t| t.limits);
         let limits: CallerLimits = limits.unwrap_or_default();
-        // An idle connection looks now and then whether the node is stopping.
         ReadLimits {
             head: limits.head_bytes,
             body: limits.body_bytes.min(MAX_BODY),
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
 use tokio::time::timeout;
 
 use crate::clock::Time;
@@ -19,7 +20,18 @@
 use crate::relay::Relay;
 
 /// Longest wait for a change in one call.
-const WATCH: Duration = Duration::from_secs(20);
+const LONGEST_WATCH: Duration = Duration::from_secs(20);
+
+/// Shortest wait for a change in one call.
+const SHORTEST_WATCH: Duration = Duration::from_secs(2);
+
+/// Time between two calls for changes by any nodes of the fleet, on average. A watch may go silent
+/// without notice; the node that asks next hears of a change, and the others hear of it from that
+/// node.
+const FLEET_WATCH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time that an own watch gets to bring a change that other nodes have heard of already.
+const HEARSAY_DELAY: Duration = Duration::from_millis(300);
 
 /// Longest time that the store may take beyond a wait.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1_200);
@@ -178,10 +190,17 @@
             None => Query::Routes,
             Some(revision) => Query::RoutesAfter {
                 revision,
-                wait_ms: WATCH.as_millis() as u64,
+                wait_ms: config_watch(&relay).as_millis() as u64,
             },
         };
-        match read(&relay, query).await {
+        let result = tokio::select! {
+            result = read(&relay, query) => result,
+            () = hearsay(&relay) => {
+                revision = None;
+                continue;
+            }
+        };
+        match result {
             Ok(reading) => {
                 pause = Pause::new();
                 revision = Some(reading.revision);
@@ -197,13 +216,34 @@
                 if e == StoreError::Compacted {
                     revision = None;
                 }
-                log::debug!("configuration: {e}");
+                log::info!(dependency = "store", what = "configuration", error:% = e; "not read");
                 pause.wait().await;
             }
         }
     }
 }
 
+/// Returns the wait of the next call for changes of the configuration, drawn anew so that the nodes
+/// of a fleet do not call in step.
+fn config_watch(relay: &Relay) -> Duration {
+    let nodes = u32::try_from(relay.view().targets.len()).unwrap_or(u32::MAX);
+    let longest = FLEET_WATCH_PERIOD.saturating_mul(nodes);
+    let longest = longest.clamp(SHORTEST_WATCH, LONGEST_WATCH);
+    longest.mul_f64(relay.decisions().rng.random_range(0.5..=1.0))
+}
+
+/// Waits until another node has had a newer configuration for a while.
+async fn hearsay(relay: &Relay) {
+    loop {
+        relay.newer_version().await;
+        let known = relay.version();
+        tokio::time::sleep(HEARSAY_DELAY).await;
+        if relay.version() == known {
+            return;
+        }
+    }
+}
+
 /// Keeps the list of targets up to date for as long as the process runs.
 pub async fn follow_targets(relay: Arc<Relay>) {
     let mut pause = Pause::new();
@@ -221,7 +261,7 @@
                 tokio::time::sleep(period).await;
             }
             Err(e) => {
-                log::debug!("list of targets: {e}");
+                log::info!(dependency = "store", what = "targets", error:% = e; "not read");
                 pause.wait().await;
             }
         }
@@ -243,7 +283,7 @@
             Some((known, revision)) if *known == name => Query::TargetAfter {
                 name: name.clone(),
                 revision: *revision,
-                wait_ms: WATCH.as_millis() as u64,
+                wait_ms: LONGEST_WATCH.as_millis() as u64,
             },
             _ => Query::Target(name.clone()),
         };
@@ -263,7 +303,7 @@
                 if e == StoreError::Compacted {
                     followed = None;
                 }
-                log::debug!("own entry: {e}");
+                log::info!(dependency = "store", what = "own entry", error:% = e; "not read");
                 pause.wait().await;
             }
         }
--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -51,14 +51,34 @@
         let registry = Registry::new();
         let r = &registry;
         Figures {
-            requests: counter(r, "requests", "Requests of callers answered", &["route", "status"]),
+            requests: counter(
+                r,
+                "requests",
+                "Requests of callers answered",
+                &["route", "status"],
+            ),
             request_time: times(r, "request_seconds", "Time to the answer", &["route"]),
             refused: counter(r, "refused", "Requests not run", &["route", "kind"]),
-            failed: counter(r, "failed", "Requests of unknown outcome", &["route", "kind"]),
+            failed: counter(
+                r,
+                "failed",
+                "Requests of unknown outcome",
+                &["route", "kind"],
+            ),
             runs: counter(r, "runs", "Runs at the own target", &["route", "outcome"]),
-            run_time: times(r, "run_seconds", "Time of a run at the own target", &["route"]),
+            run_time: times(
+                r,
+                "run_seconds",
+                "Time of a run at the own target",
+                &["route"],
+            ),
             queue_time: times(r, "queue_seconds", "Wait for a slot", &["route"]),
-            store: counter(r, "store_calls", "Calls of the platform's store", &["result"]),
+            store: counter(
+                r,
+                "store_calls",
+                "Calls of the platform's store",
+                &["result"],
+            ),
             callers: single(r, "callers", "Connections of callers accepted"),
             in_progress: level(r, "in_progress", "Requests of callers in progress"),
             state: gauge(r, "state", "State of the node", &["what"]),
@@ -76,12 +96,16 @@
 
     /// Counts a request that was not run.
     pub fn refused(&self, route: &str, kind: NotRunKind) {
-        self.refused.with_label_values(&[route, &kind.to_string()]).inc();
+        self.refused
+            .with_label_values(&[route, &kind.to_string()])
+            .inc();
     }
 
     /// Counts a request of unknown outcome.
     pub fn failed(&self, route: &str, kind: UnknownKind) {
-        self.failed.with_label_values(&[route, &kind.to_string()]).inc();
+        self.failed
+            .with_label_values(&[route, &kind.to_string()])
+            .inc();
     }
 
     /// Counts a run at the own target.
@@ -168,21 +192,27 @@
 fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counter = IntCounterVec::new(opts(name, help), labels).expect("a valid name");
     let copy = Box::new(counter.clone());
-    registry.register(copy).expect("each name is registered once");
+    registry
+        .register(copy)
+        .expect("each name is registered once");
     counter
 }
 
 fn single(registry: &Registry, name: &str, help: &str) -> IntCounter {
     let counter = IntCounter::with_opts(opts(name, help)).expect("a valid name");
     let copy = Box::new(counter.clone());
-    registry.register(copy).expect("each name is registered once");
+    registry
+        .register(copy)
+        .expect("each name is registered once");
     counter
 }
 
 fn level(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::with_opts(opts(name, help)).expect("a valid name");
     let copy = Box::new(gauge.clone());
-    registry.register(copy).expect("each name is registered once");
+    registry
+        .register(copy)
+        .expect("each name is registered once");
     gauge
 }
 
@@ -190,13 +220,17 @@
     let opts = HistogramOpts::from(opts(name, help)).buckets(BUCKETS_S.to_vec());
     let histogram = HistogramVec::new(opts, labels).expect("a valid name");
     let copy = Box::new(histogram.clone());
-    registry.register(copy).expect("each name is registered once");
+    registry
+        .register(copy)
+        .expect("each name is registered once");
     histogram
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     let gauge = IntGaugeVec::new(opts(name, help), labels).expect("a valid name");
     let copy = Box::new(gauge.clone());
-    registry.register(copy).expect("each name is registered once");
+    registry
+        .register(copy)
+        .expect("each name is registered once");
     gauge
 }
--- a/src/relay/intake.rs
+++ b/src/relay/intake.rs
@@ -67,7 +67,11 @@
                 Effect::Preempt(_) => (),
             }
         }
-        let oldest = self.since.values().min().map_or(Duration::ZERO, |at| now.since(*at));
+        let oldest = self
+            .since
+            .values()
+            .min()
+            .map_or(Duration::ZERO, |at| now.since(*at));
         let mean = match self.started {
             0 => oldest,
             started => self.waited / started,
@@ -219,7 +223,9 @@
         state.waiters.remove(&permit.ticket);
         state.since.remove(&permit.ticket);
         if !permit.told && !state.admission.withdraw(permit.ticket, now, &mut effects) {
-            state.admission.finish(permit.ticket, permit.ending, now, &mut effects);
+            state
+                .admission
+                .finish(permit.ticket, permit.ending, now, &mut effects);
         }
         state.apply(effects, now);
     }
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -170,7 +170,9 @@
     /// Returns whether a connection to `address` failed just now.
     pub fn is_unreachable(&self, address: SocketAddr) -> bool {
         let failed = self.unreachable.lock().unwrap_or_else(|p| p.into_inner());
-        failed.get(&address).is_some_and(|at| at.elapsed() < UNREACHABLE_FOR)
+        failed
+            .get(&address)
+            .is_some_and(|at| at.elapsed() < UNREACHABLE_FOR)
     }
 
     fn next_number(&self) -> u32 {
@@ -207,7 +209,10 @@
                 return refuse_all(orders);
             }
         };
-        self.unreachable.lock().unwrap_or_else(|p| p.into_inner()).remove(&address);
+        self.unreachable
+            .lock()
+            .unwrap_or_else(|p| p.into_inner())
+            .remove(&address);
         log::debug!(peer:% = address; "node connected");
         let (rd, wr) = stream.into_split();
         let mut open = Open::default();
@@ -255,7 +260,13 @@
 
 impl Drop for CancelGuard {
     fn drop(&mut self) {
-        if self.armed && self.link.orders.try_send(Order::Cancel(self.number)).is_err() {
+        if self.armed
+            && self
+                .link
+                .orders
+                .try_send(Order::Cancel(self.number))
+                .is_err()
+        {
             log::debug!("cancel not sent, the connection is closed or full");
         }
     }
@@ -279,10 +290,13 @@
     ) -> io::Result<()> {
         let mut frames = FramedRead::new(rd, frame::codec());
         let mut out = BytesMut::new();
-        put(&mut out, &Frame::Hello {
-            version: FRAME_VERSION,
-            incarnation,
-        });
+        put(
+            &mut out,
+            &Frame::Hello {
+                version: FRAME_VERSION,
+                incarnation,
+            },
+        );
         let mut heard = Instant::now();
         let mut pinged = false;
         loop {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -27,14 +27,13 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::clock::Time;
@@ -147,10 +146,22 @@
     target_down: Mutex<Option<Time>>,
     links: Arc<Links>,
     figures: Figures,
-    stopping: AtomicBool,
+    phase: watch::Sender<Phase>,
+    newer: Notify,
     incarnation: u64,
 }
 
+/// How far a node is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It takes no work for its target, and asks callers to go elsewhere.
+    Leaving,
+    /// It reads no further request.
+    Closing,
+}
+
 impl std::fmt::Debug for Relay {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Relay").finish_non_exhaustive()
@@ -192,7 +203,8 @@
             target_down: Mutex::default(),
             links: Arc::new(Links::new(incarnation)),
             figures: Figures::new(),
-            stopping: AtomicBool::new(false),
+            phase: watch::Sender::new(Phase::Serving),
+            newer: Notify::new(),
             incarnation,
             clock,
         }
@@ -260,15 +272,22 @@
         &self.figures
     }
 
-    /// Returns whether the node was told to stop.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+    /// Returns how far the node is on its way to its end.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns a view of the phase that can be waited on.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
     }
 
-    /// Takes no new work from now on.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-        self.links.tell_all(&Frame::Leaving);
+    /// Moves on towards the end.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+        if phase == Phase::Leaving {
+            self.links.tell_all(&Frame::Leaving);
+        }
     }
 
     /// Returns whether requests are in progress here.
@@ -279,7 +298,7 @@
     /// Returns whether callers may send requests here.
     pub fn is_ready(&self) -> bool {
         let view = self.view();
-        !self.is_stopping() && view.routes.is_some() && !view.targets.is_empty()
+        self.phase() == Phase::Serving && view.routes.is_some() && !view.targets.is_empty()
     }
 
     /// Returns the own target as it is listed.
@@ -308,7 +327,14 @@
     ///
     /// If the store does not answer this node.
     pub async fn read_store(&self, query: Query) -> Result<Reading, StoreError> {
-        let result = self.store.read(query).await;
+        let began = self.now();
+        let result = self.store.read(query.clone()).await;
+        log::debug!(
+            query:? = query, took_ms = self.now().since(began).as_millis() as u64,
+            revision = result.as_ref().map_or(0, |r| r.revision),
+            error:? = result.as_ref().err();
+            "store read"
+        );
         self.figures.store_call(result.is_ok());
         let worked = matches!(result, Ok(_) | Err(StoreError::Compacted));
         let news = self.store_state().note(worked, self.now());
@@ -339,7 +365,11 @@
                 .collect()
         };
         peers.sort_unstable();
-        peers.into_iter().map(|(_, _, peer)| peer).take(most).collect()
+        peers
+            .into_iter()
+            .map(|(_, _, peer)| peer)
+            .take(most)
+            .collect()
     }
 
     /// Takes over a configuration, unless a newer one is in force.
@@ -364,12 +394,33 @@
             routes = table.routes().count();
             "configuration in force"
         );
+        self.links.tell_all(&Frame::Version(table.version));
+        for route in table.routes() {
+            log::debug!(version = table.version, route:? = route; "route in force");
+        }
         let mut decisions = self.decisions();
         decisions.split.keep(&table);
         let known: std::collections::HashSet<&str> = table.routes().map(|r| &*r.name).collect();
         decisions.gates.retain(|name| known.contains(name));
     }
 
+    /// Returns the version of the configuration in force, 0 if there is none.
+    pub fn version(&self) -> u64 {
+        self.view().routes.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Notes the version that another node has in force.
+    pub fn hear_version(&self, version: u64) {
+        if version > self.version() {
+            self.newer.notify_one();
+        }
+    }
+
+    /// Waits until another node was heard to have a newer configuration.
+    pub async fn newer_version(&self) {
+        self.newer.notified().await;
+    }
+
     /// Takes over the list of targets.
     pub fn take_targets(&self, list: Vec<Listed>, revision: u64) {
         let cfg = self.cfg();
@@ -442,7 +493,7 @@
         if view.own_name() != Some(name) {
             return Err(NotRunKind::TargetUnreachable);
         }
-        if view.own_leaving {
+        if view.own_leaving || self.phase() != Phase::Serving {
             return Err(NotRunKind::Draining);
         }
         let down = *self.target_down.lock().unwrap_or_else(|p| p.into_inner());
@@ -481,10 +532,17 @@
         }
         log::warn!(target:% = name, suspects = reports.len(); "own target crashed");
         let own = self.cfg().peers;
-        let peers: std::collections::HashSet<SocketAddr> =
-            self.view().instances().iter().map(|i| i.peer).filter(|p| *p != own).collect();
+        let peers: std::collections::HashSet<SocketAddr> = self
+            .view()
+            .instances()
+            .iter()
+            .map(|i| i.peer)
+            .filter(|p| *p != own)
+            .collect();
         for peer in peers {
-            reports.iter().for_each(|report| self.links.tell(peer, report));
+            reports
+                .iter()
+                .for_each(|report| self.links.tell(peer, report));
         }
     }
 
@@ -519,6 +577,7 @@
         LoadReport {
             percent: self.intake.percent(),
             gate: self.gate_of(route).to_byte(),
+            version: self.version(),
         }
     }
 
@@ -531,4 +590,3 @@
         self.view.write().unwrap_or_else(|p| p.into_inner())
     }
 }
-
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -102,6 +102,7 @@
                 handle.abort();
             }
         }
+        Frame::Version(version) => relay.hear_version(version),
         Frame::Ping => send(tx, Frame::Pong).await?,
         Frame::Crash(report) => relay.take_crash(&report),
         Frame::Read { number, query } => read_for(relay, number, query, tx),
@@ -147,7 +148,10 @@
             false => relay.read_store_for_other(query).await,
         };
         READS.fetch_sub(1, Ordering::Relaxed);
-        if send(&tx, Frame::ReadReply { number, reading }).await.is_err() {
+        if send(&tx, Frame::ReadReply { number, reading })
+            .await
+            .is_err()
+        {
             log::debug!("a reading is dropped, the node that asked is gone");
         }
     });
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -37,6 +37,7 @@
 /// Runs a request at the own target. Dropping the future ends an idempotent run; any other goes on
 /// to its end, because stopping it would leave its outcome unknown.
 pub async fn run_here(relay: &Arc<Relay>, req: RunRequest, arrived: Time) -> Ended {
+    relay.hear_version(req.version);
     let deadline = arrived.plus(Duration::from_millis(u64::from(req.remaining_ms)));
     let started = match start(relay, &req, deadline).await {
         Ok(started) => started,
@@ -81,7 +82,11 @@
     }
 }
 
-async fn start(relay: &Arc<Relay>, req: &RunRequest, deadline: Time) -> Result<Started, NotRunKind> {
+async fn start(
+    relay: &Arc<Relay>,
+    req: &RunRequest,
+    deadline: Time,
+) -> Result<Started, NotRunKind> {
     relay.check_target(&req.target)?;
     let fingerprint = fingerprint(req);
     let asked = relay.now();
@@ -117,7 +122,12 @@
     })
 }
 
-async fn exchange(relay: Arc<Relay>, req: RunRequest, mut started: Started, deadline: Time) -> Ended {
+async fn exchange(
+    relay: Arc<Relay>,
+    req: RunRequest,
+    mut started: Started,
+    deadline: Time,
+) -> Ended {
     let began = relay.now();
     let remaining = deadline.since(began);
     let exchange = Exchange {
@@ -137,7 +147,9 @@
         Ok(end) => conclude(&relay, &mut started, &req.target, end),
         Err(_) => Ended::Unknown(UnknownKind::Deadline),
     };
-    relay.figures().run(&req.route, &ended, started.queued, took);
+    relay
+        .figures()
+        .run(&req.route, &ended, started.queued, took);
     log::info!(
         request:% = exchange.id, route:% = req.route, target:% = req.target,
         outcome:% = outcome(&ended), queued_ms = started.queued.as_millis() as u64,
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::RelayConfig;
 use crate::relay::caller;
@@ -24,7 +25,13 @@
 const RELOAD_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Time for which a stopping node still accepts callers, until they have been sent elsewhere.
-const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(3_000);
+const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(2_600);
+
+/// Part of the grace in which no further request is read.
+const CLOSING_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time for the last answers to leave the process.
+const LAST_WRITES: Duration = Duration::from_millis(100);
 
 /// Time between two looks whether a stopping node has finished.
 const STOP_LOOK: Duration = Duration::from_millis(50);
@@ -85,12 +92,24 @@
     }
 
     /// Takes no new work, finishes what runs within the grace, then stops.
+    ///
+    /// The target goes on running what it has begun, and its sub-calls enter here, so that the
+    /// node goes on accepting until the target is idle.
     pub async fn stop(self) {
         let began = Instant::now();
         let grace = self.relay.cfg().grace.saturating_sub(GRACE_LEFT);
-        self.relay.begin_stop();
-        sleep(ACCEPT_WHILE_STOPPING.min(grace)).await;
+        let last_accept = grace.saturating_sub(CLOSING_TIME);
+        self.relay.enter(Phase::Leaving);
+        while began.elapsed() < last_accept {
+            let accepted_enough = began.elapsed() >= ACCEPT_WHILE_STOPPING;
+            if accepted_enough && self.relay.intake().counts().0 == 0 {
+                break;
+            }
+            sleep(STOP_LOOK).await;
+        }
         self.callers.abort();
+        self.relay.enter(Phase::Closing);
+        sleep(LAST_WRITES).await;
         while began.elapsed() < grace && self.relay.is_busy() {
             sleep(STOP_LOOK).await;
         }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -214,7 +214,11 @@
     }
 
     /// Reads the answer to `exchange`, and skips late answers to others.
-    async fn answer(&self, rd: &mut ReadHalf<'_>, exchange: &Exchange) -> Result<Read, ExchangeEnd> {
+    async fn answer(
+        &self,
+        rd: &mut ReadHalf<'_>,
+        exchange: &Exchange,
+    ) -> Result<Read, ExchangeEnd> {
         let mut buf = BytesMut::with_capacity(2_048);
         for _ in 0..=MAX_STRAY {
             let (head, body) = read_response(rd, &mut buf, &exchange.method).await?;
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -39,7 +39,11 @@
 
     /// Returns whether the own target is the same, and in the same life, as in `other`.
     pub fn has_same_own(&self, other: &View) -> bool {
-        let life = |view: &View| view.own.as_ref().map(|own| (own.instance.name.clone(), own.born));
+        let life = |view: &View| {
+            view.own
+                .as_ref()
+                .map(|own| (own.instance.name.clone(), own.born))
+        };
         life(self) == life(other)
     }
 
@@ -66,7 +70,9 @@
         }
         for (name, old) in known {
             let since = *self.missing.entry(name.clone()).or_insert(now);
-            let replaced = targets.iter().any(|t| t.instance.ingress == old.instance.ingress);
+            let replaced = targets
+                .iter()
+                .any(|t| t.instance.ingress == old.instance.ingress);
             let kept = shaky || now.since(since) < MISSING_KEPT;
             match kept && !replaced {
                 true => targets.push(old),
@@ -80,7 +86,10 @@
 
     /// The newest of the targets at the own address is the one that listens there.
     fn find_own(&mut self, address: SocketAddr) {
-        let at_own = self.targets.iter().filter(|t| t.instance.ingress == address);
+        let at_own = self
+            .targets
+            .iter()
+            .filter(|t| t.instance.ingress == address);
         let Some(newest) = at_own.max_by_key(|t| t.born).cloned() else {
             return;
         };
