Gate by the wait for slots, grant roots by rank and cost; one target at each address

The gate is now the share of the load that an instance can take, and the first node grants roots by rank and by the slot time that one costs at the gate, with a part for every rank; callers who come back as told go first.

--- a/src/coordination/fanout.rs
+++ b/src/coordination/fanout.rs
@@ -107,6 +107,14 @@
         rates.fold(0.0, f64::max)
     }
 
+    /// Returns the mean time of a run of `route`, zero if none was seen.
+    pub fn run_time(&self, route: &str) -> Duration {
+        let parent = self.parents.get(route);
+        parent.map_or(Duration::ZERO, |p| {
+            Duration::from_secs_f64(p.run_s / p.runs.max(1.0))
+        })
+    }
+
     /// Returns the calls on `child` that a run of `route` is believed to make.
     pub fn calls_per_run(&self, route: &str, child: &str) -> f64 {
         let Some(parent) = self.parents.get(route) else {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub mod document;
 pub mod draw;
 pub mod ejection;
+pub mod entry;
 pub mod fanout;
 pub mod gate;
 pub mod gossip;
--- a/src/coordination/pressure.rs
+++ b/src/coordination/pressure.rs
@@ -1,9 +1,9 @@
-//! Refusing at the root: how much of the traffic of each route may enter.
+//! How much load an instance can take, and what senders know of it.
 //!
 //! The load that this answers is a surge of roots whose calls end in a small service deep down.
-//! A call that is turned away there wastes the whole run above it, so the deep instance states a
-//! gate, answers carry it up one hop at a time, and the first node refuses roots by it, the least
-//! important first.
+//! A call that is turned away there wastes the whole run above it. So the instance states a gate,
+//! the share of its present load that it can take; answers carry it up one hop at a time, and the
+//! first node admits roots by it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,102 +11,157 @@
 
 use crate::clock::Time;
 
-/// Ranks that the gate tells apart; those beyond are treated like the last.
-const RANKS: f64 = 3.0;
-
 /// Time between two moves of a gate.
 pub const GATE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Wait for a slot above which an instance closes its gate step by step.
-pub const WAIT_TARGET: Duration = Duration::from_millis(40);
+/// Mean wait for a slot above which the gate closes. Senders place on instances that have room, so
+/// that a queue means that the others near by are full too.
+const WAIT_TARGET_S: f64 = 0.015;
+
+/// Time in which a queue should be worked off.
+const BACKLOG_SPAN_S: f64 = 0.2;
+
+/// Part of the way to the wanted gate that one move closes it.
+const CLOSE_GAIN: f64 = 0.3;
 
-/// Largest step by which a gate closes.
-const CLOSE_STEP: f64 = 0.15;
+/// Part by which one move opens a gate at most.
+const OPEN_GAIN: f64 = 0.05;
 
-/// Step by which a gate opens.
-const OPEN_STEP: f64 = 0.04;
+/// Least gate, so that there is always news.
+const LEAST_GATE: f64 = 0.03;
 
-/// Weight of a new report against the gate known so far.
-const REPORT_WEIGHT: f64 = 0.3;
+/// Weight of the latest period in the rate of arrivals.
+const RATE_WEIGHT: f64 = 0.4;
+
+/// Weight of a new report against what was known.
+const REPORT_WEIGHT: f64 = 0.25;
 
 /// Time without a report after which a known gate opens step by step.
-const REPORT_KEPT: Duration = Duration::from_millis(500);
+const REPORT_KEPT: Duration = Duration::from_millis(600);
 
-/// How many ranks enter: rank `r` enters whole at `r + 1` or more, and in part between.
+/// Share of the load that may enter.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Gate(f64);
 
 impl Gate {
     /// Everything enters.
-    pub const OPEN: Gate = Gate(RANKS);
+    pub const OPEN: Gate = Gate(1.0);
+
+    /// Nothing enters.
+    pub const SHUT: Gate = Gate(0.0);
 
     /// Returns the stricter of two gates.
     pub fn min(self, other: Gate) -> Gate {
         Gate(self.0.min(other.0))
     }
 
-    /// Returns whether a request enters. `luck` is uniform in 0..1.
-    pub fn admits(self, rank: u8, luck: f64) -> bool {
-        let rank = f64::from(rank).min(RANKS - 1.0);
-        self.0 >= RANKS || rank + luck < self.0
+    /// Returns the share, from 0 to 1.
+    pub fn share(self) -> f64 {
+        self.0
     }
 
-    /// Returns the share of the requests of a rank that enter.
-    pub fn share(self, rank: u8) -> f64 {
-        let rank = f64::from(rank).min(RANKS - 1.0);
-        (self.0 - rank).clamp(0.0, 1.0)
+    /// Returns whether everything enters.
+    pub fn is_open(self) -> bool {
+        self.0 >= 1.0
     }
 
     /// Returns the gate as one byte.
     pub fn to_byte(self) -> u8 {
-        (self.0 / RANKS * 255.0).round() as u8
+        (self.0 * 255.0).round() as u8
     }
 
     /// Returns the gate of a byte.
     pub fn from_byte(byte: u8) -> Gate {
-        Gate(f64::from(byte) / 255.0 * RANKS)
+        Gate(f64::from(byte) / 255.0)
     }
 }
 
-/// Moves the gate of one instance by the wait for its slots.
+/// Slots of an instance at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotUse {
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Mean time of a run.
+    pub run: Duration,
+}
+
+/// Moves the gate of one instance by the load that is offered to it.
 #[derive(Debug)]
 pub struct GateControl {
-    gate: Gate,
-    next: Time,
+    gate: f64,
+    began: Time,
+    arrived: u32,
+    queued: u64,
+    rate: Option<f64>,
 }
 
 impl GateControl {
     /// Builds an open gate.
     pub fn new(now: Time) -> GateControl {
         GateControl {
-            gate: Gate::OPEN,
-            next: now.plus(GATE_PERIOD),
+            gate: 1.0,
+            began: now,
+            arrived: 0,
+            queued: 0,
+            rate: None,
         }
     }
 
     /// Returns the gate.
     pub fn gate(&self) -> Gate {
-        self.gate
+        Gate(self.gate)
+    }
+
+    /// Counts a request that was offered while `queued` others waited.
+    pub fn arrived(&mut self, queued: u32) {
+        self.arrived += 1;
+        self.queued += u64::from(queued);
     }
 
-    /// Moves the gate if it is time, by the longest wait for a slot since the last move.
-    /// Returns whether it was time.
-    pub fn observe(&mut self, wait: Duration, now: Time) -> bool {
-        if now < self.next {
-            return false;
+    /// Moves the gate if it is time.
+    pub fn observe(&mut self, slots: SlotUse, now: Time) {
+        let passed = now.since(self.began);
+        if passed < GATE_PERIOD {
+            return;
         }
-        self.next = now.plus(GATE_PERIOD);
-        let excess = wait.as_secs_f64() / WAIT_TARGET.as_secs_f64();
-        let step = match excess {
-            e if e > 1.0 => -(CLOSE_STEP * (e - 1.0).min(1.0)),
-            e if e < 0.5 => OPEN_STEP,
-            _ => 0.0,
+        let run = slots.run.as_secs_f64();
+        let limit = f64::from(slots.limit.max(1));
+        let offered = self.rate(passed) * run / limit;
+        let queued = self.queued as f64 / f64::from(self.arrived.max(1));
+        let wait_s = queued * run / limit;
+        self.began = now;
+        self.arrived = 0;
+        self.queued = 0;
+        let step = match wait_s > WAIT_TARGET_S {
+            true => {
+                let pressure = offered.max(1.0) * (1.0 + wait_s / BACKLOG_SPAN_S);
+                (1.0 / pressure - 1.0) * CLOSE_GAIN
+            }
+            false => OPEN_GAIN,
         };
-        self.gate = Gate((self.gate.0 + step).clamp(0.0, RANKS));
-        true
+        self.gate = (self.gate * (1.0 + step)).clamp(LEAST_GATE, 1.0);
+    }
+
+    fn rate(&mut self, passed: Duration) -> f64 {
+        let latest = f64::from(self.arrived) / passed.as_secs_f64();
+        let known = self.rate.unwrap_or(latest);
+        let rate = known + (latest - known) * RATE_WEIGHT;
+        self.rate = Some(rate);
+        rate
     }
 }
 
+/// What an answer says of the way of its route.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GateReport {
+    /// The strictest gate on the way.
+    pub gate: Gate,
+    /// Slot time that one request takes at that gate, in milliseconds.
+    pub cost_ms: f64,
+    /// Whether the requests of the route are roots.
+    pub root: bool,
+}
+
 /// The gates that answers have reported, for each route.
 #[derive(Debug, Default)]
 pub struct Gates {
@@ -115,27 +170,38 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Known {
-    gate: Gate,
+    gate: f64,
+    cost_ms: f64,
     root: bool,
     reported: Time,
 }
 
 impl Gates {
-    /// Merges the gate that an answer to a request of `route` reported, and whether the requests of
-    /// the route are roots.
-    pub fn report(&mut self, route: &Arc<str>, gate: Gate, root: bool, now: Time) {
-        let open = Known {
-            gate: Gate::OPEN,
-            root,
+    /// Merges what an answer to a request of `route` reported.
+    pub fn report(&mut self, route: &Arc<str>, report: GateReport, now: Time) {
+        let first = Known {
+            gate: 1.0,
+            cost_ms: report.cost_ms,
+            root: report.root,
             reported: now,
         };
-        let known = self.routes.entry(route.clone()).or_insert(open);
-        let current = known.opened(now).0;
-        known.gate = Gate(current + (gate.0 - current) * REPORT_WEIGHT);
-        known.root = root;
+        let known = self.routes.entry(route.clone()).or_insert(first);
+        let gate = known.opened(now);
+        known.gate = gate + (report.gate.0 - gate) * REPORT_WEIGHT;
+        known.cost_ms += (report.cost_ms - known.cost_ms) * REPORT_WEIGHT;
+        known.root = report.root;
         known.reported = now;
     }
 
+    /// Notes that a request of `route` found no instance that would run it.
+    pub fn turned_away(&mut self, route: &str, now: Time) {
+        if let Some(known) = self.routes.get_mut(route) {
+            let gate = known.opened(now);
+            known.gate = gate + (LEAST_GATE - gate).min(0.0) * REPORT_WEIGHT;
+            known.reported = now;
+        }
+    }
+
     /// Returns whether the requests of a route are roots, as far as is known.
     pub fn is_root(&self, route: &str) -> bool {
         self.routes.get(route).is_some_and(|known| known.root)
@@ -143,7 +209,13 @@
 
     /// Returns the gate of a route. Without news it opens step by step.
     pub fn gate(&self, route: &str, now: Time) -> Gate {
-        self.routes.get(route).map_or(Gate::OPEN, |k| k.opened(now))
+        let known = self.routes.get(route);
+        Gate(known.map_or(1.0, |known| known.opened(now)))
+    }
+
+    /// Returns the slot time that a request of a route takes at its gate, in milliseconds.
+    pub fn cost_ms(&self, route: &str) -> f64 {
+        self.routes.get(route).map_or(0.0, |known| known.cost_ms)
     }
 
     /// Forgets routes for which `keep` is false.
@@ -156,14 +228,14 @@
 }
 
 impl Known {
-    fn opened(&self, now: Time) -> Gate {
+    fn opened(&self, now: Time) -> f64 {
         let silent = now.since(self.reported).saturating_sub(REPORT_KEPT);
         let steps = silent.as_secs_f64() / GATE_PERIOD.as_secs_f64();
-        let gate = self.gate.0 + steps * OPEN_STEP;
-        // Averages come close to the open gate but do not reach it.
-        match gate > RANKS - 0.02 {
-            true => Gate::OPEN,
-            false => Gate(gate),
+        let gate = self.gate + steps * OPEN_GAIN;
+        // Averages come close to an open gate but do not reach it.
+        match gate > 0.99 {
+            true => 1.0,
+            false => gate,
         }
     }
 }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -94,6 +94,9 @@
 /// Time between two writes of the lines that were gathered.
 const FLUSH_PERIOD: Duration = Duration::from_millis(250);
 
+/// Bytes of one write.
+const PIECE: usize = 4_000;
+
 /// Bytes of lines that wait to be written, at most.
 const MAX_WAITING: usize = 512 * 1024;
 
@@ -148,9 +151,19 @@
                 "{{\"message\":\"lines left out\",\"lines\":{left_out}}}\n"
             ));
         }
-        // Nothing can be said about a standard output that cannot be written.
-        let _ = std::io::stdout().write_all(text.as_bytes());
-        let _ = std::io::stdout().flush();
+        write_out(text.as_bytes());
+    }
+}
+
+/// Writes in small pieces, each of which a pipe takes whole.
+fn write_out(text: &[u8]) {
+    let mut out = std::io::stdout().lock();
+    for piece in text.chunks(PIECE) {
+        let written = out.write_all(piece).and_then(|()| out.flush());
+        if written.is_err() {
+            // Nothing can be said about a standard output that cannot be written.
+            return;
+        }
     }
 }
 
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -88,8 +88,10 @@
 pub struct LoadReport {
     /// Calls that run or wait, in percent of those that may run at once.
     pub percent: u16,
-    /// Gate for the route that was called, as one byte.
+    /// Gate on the way of the route that was called, as one byte.
     pub gate: u8,
+    /// Slot time that one request of the route takes at that gate, in milliseconds.
+    pub cost_ms: u16,
     /// Whether the requests of that route are made by callers, not by targets.
     pub root: bool,
     /// Version of the configuration in force there.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -5,9 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rand::RngExt;
+
+use crate::call::Priority;
 use crate::clock::Time;
 use crate::coordination::comeback;
 use crate::coordination::pressure::Gate;
+use crate::coordination::pressure::GateReport;
 use crate::coordination::route;
 use crate::coordination::route::Route;
 use crate::coordination::routing::Choice;
@@ -19,14 +23,16 @@
 use crate::error::ErrorKind;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestParts;
 use crate::http1::Header;
 use crate::http1::reader::Request;
 use crate::instance::InstanceName;
 use crate::instance::ServiceName;
 use crate::protocol::frame;
 use crate::protocol::frame::Ended;
-use crate::protocol::frame::LoadReport;
 use crate::protocol::frame::RunRequest;
+use crate::relay::Decisions;
 use crate::relay::Relay;
 use crate::relay::link::Reply;
 use crate::relay::run;
@@ -141,8 +147,8 @@
 
 impl Call<'_> {
     async fn answer(&self) -> Answer {
-        if let Some(gate) = self.refused_at_root() {
-            return self.refuse(NotRunKind::Shed, gate.share(self.route.rank));
+        if let Some(entering) = self.refused_at_root() {
+            return self.refuse(NotRunKind::Shed, entering);
         }
         if !self.root {
             let now = self.relay.now();
@@ -151,24 +157,53 @@
         let left = self.deadline.since(self.relay.now());
         match tokio::time::timeout(left, self.place()).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(ErrorKind::NotRun(kind))) => self.refuse(kind, 0.5),
+            Ok(Err(ErrorKind::NotRun(kind))) => {
+                self.note_turned_away();
+                self.refuse(kind, 0.5)
+            }
             Ok(Err(ErrorKind::Unknown(kind))) => self.fail(kind),
             Err(_) if self.may_run.load(Ordering::Relaxed) => self.fail(UnknownKind::Deadline),
             Err(_) => self.refuse(NotRunKind::DeadlineInQueue, 0.5),
         }
     }
 
-    /// Returns the gate that keeps this request out, if one does. What is not known to be a root
-    /// always enters, because a run above it may have paid already.
-    fn refused_at_root(&self) -> Option<Gate> {
+    /// Returns the share of its route that enters, if this request does not. What is not known to
+    /// be a root always enters, because a run above it may have paid already.
+    fn refused_at_root(&self) -> Option<f64> {
         if !self.root {
             return None;
         }
         let now = self.relay.now();
         let mut decisions = self.relay.decisions();
-        let gate = decisions.gates.gate(&self.route.name, now);
-        let luck = rand::RngExt::random_range(&mut decisions.rng, 0.0..1.0);
-        (!gate.admits(self.route.rank, luck)).then_some(gate)
+        let Decisions {
+            entry, gates, rng, ..
+        } = &mut *decisions;
+        let share = entry.offered(&self.route.name, self.route.rank, gates, now);
+        if share >= 1.0 {
+            return None;
+        }
+        let luck = rng.random_range(0.0..1.0);
+        let admitted = entry.admits(self.fingerprint(), share, luck, now);
+        (!admitted).then_some(share)
+    }
+
+    fn note_turned_away(&self) {
+        let now = self.relay.now();
+        let mut decisions = self.relay.decisions();
+        decisions.gates.turned_away(&self.route.name, now);
+    }
+
+    /// Identifies what is asked for, the same when the caller asks again.
+    fn fingerprint(&self) -> Fingerprint {
+        let parts = RequestParts {
+            caller: "",
+            service: "",
+            method: &self.request.head.method,
+            path: &self.request.head.target,
+            headers: &[],
+            body: &self.request.body,
+        };
+        parts.fingerprint()
     }
 
     /// Offers the request to one instance after the other, until one answers.
@@ -229,10 +264,10 @@
         }
         let now = self.relay.now();
         let mut decisions = self.relay.decisions();
-        let crate::relay::Decisions { router, rng, .. } = &mut *decisions;
+        let Decisions { router, rng, .. } = &mut *decisions;
         let near = Want {
             service: &self.service,
-            priority: route::priority(self.route.rank),
+            priority: self.priority(),
             idempotent: self.route.idempotent,
             cross_region: false,
             tried,
@@ -250,6 +285,14 @@
         }
     }
 
+    /// Returns the priority; a call whose root has been paid for goes first.
+    fn priority(&self) -> Priority {
+        match self.root {
+            true => route::priority(self.route.rank),
+            false => Priority::Critical,
+        }
+    }
+
     /// Returns the target beside this node, if it serves the request and has room.
     fn own_target(&self, tried: &[InstanceName]) -> Option<Pick> {
         let own = self.relay.own_target()?;
@@ -337,8 +380,8 @@
             comeback::after_refusal(remaining, entering, &mut decisions.rng)
         };
         log::info!(
-            request:% = self.id, route:% = self.route.name, kind:% = kind, root = self.root,
-            entering = entering, took_ms = self.took_ms(), retry_after_ms = wait.as_millis() as u64;
+            request:% = self.id, route:% = self.route.name, path:% = self.request.head.target,
+            kind:% = kind, root = self.root, entering = entering, took_ms = self.took_ms(), retry_after_ms = wait.as_millis() as u64;
             "refused"
         );
         self.relay.figures().refused(&self.route.name, kind);
@@ -409,10 +452,14 @@
         }
         let mut decisions = self.call.relay.decisions();
         decisions.router.answered(self.pick, &seen, now);
-        if let Some(LoadReport { gate, root, .. }) = reply.load {
-            let gate = Gate::from_byte(gate);
+        if let Some(load) = reply.load {
+            let report = GateReport {
+                gate: Gate::from_byte(load.gate),
+                cost_ms: f64::from(load.cost_ms),
+                root: load.root,
+            };
             let route = &self.call.route.name;
-            decisions.gates.report(route, gate, root, now);
+            decisions.gates.report(route, report, now);
         }
     }
 }
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -30,11 +30,17 @@
 /// node.
 const FLEET_WATCH_PERIOD: Duration = Duration::from_millis(250);
 
+/// Longest wait for a change of the own target in one call. A watch may go silent without notice.
+const OWN_WATCH: Duration = Duration::from_millis(2_500);
+
+/// Time between two looks at an entry that says nothing definite.
+const UNDECIDED_PERIOD: Duration = Duration::from_millis(300);
+
 /// Time that an own watch gets to bring a change that other nodes have heard of already.
 const HEARSAY_DELAY: Duration = Duration::from_millis(300);
 
 /// Longest time that the store may take beyond a wait.
-const ANSWER_WITHIN: Duration = Duration::from_millis(1_200);
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_000);
 
 /// Shortest pause after a failed call; doubled up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -269,6 +275,7 @@
 }
 
 /// Watches the entry of the own target, because this node alone must know in time that it leaves.
+/// A hint that it may be leaving makes it look at once.
 pub async fn follow_own(relay: Arc<Relay>) {
     let mut pause = Pause::new();
     let mut followed: Option<(InstanceName, u64)> = None;
@@ -283,20 +290,27 @@
             Some((known, revision)) if *known == name => Query::TargetAfter {
                 name: name.clone(),
                 revision: *revision,
-                wait_ms: LONGEST_WATCH.as_millis() as u64,
+                wait_ms: OWN_WATCH.as_millis() as u64,
             },
             _ => Query::Target(name.clone()),
         };
         let outcome = tokio::select! {
             outcome = read(&relay, query) => outcome,
-            () = relay.own_changed() => continue,
+            () = relay.own_changed() => {
+                followed = None;
+                continue;
+            }
         };
         match outcome {
             Ok(reading) => {
                 pause = Pause::new();
                 followed = Some((name.clone(), reading.revision));
-                if let Content::Target(news) = reading.content {
-                    relay.take_own(&name, news, reading.revision);
+                let Content::Target(news) = reading.content else {
+                    continue;
+                };
+                if !relay.take_own(&name, news, reading.revision) {
+                    followed = None;
+                    tokio::time::sleep(UNDECIDED_PERIOD).await;
                 }
             }
             Err(e) => {
--- a/src/relay/intake.rs
+++ b/src/relay/intake.rs
@@ -20,11 +20,18 @@
 use crate::coordination::admission::Ticket;
 use crate::coordination::pressure::Gate;
 use crate::coordination::pressure::GateControl;
+use crate::coordination::pressure::SlotUse;
 use crate::error::NotRunKind;
 
 /// Share of the published slots that is used, because targets slow down when they are nearly full.
 const USED_SLOTS: f64 = 0.93;
 
+/// Weight of the latest run in the mean time of a run.
+const RUN_WEIGHT: f64 = 0.02;
+
+/// Waiting requests for each slot. A sub-call that is turned away wastes the run that made it.
+const QUEUE_PER_SLOT: u32 = 4;
+
 /// Slots of a target that is not listed yet.
 const FIRST_SLOTS: u32 = 8;
 
@@ -51,10 +58,9 @@
 struct State {
     admission: Admission,
     waiters: HashMap<Ticket, oneshot::Sender<Result<(), NotRunKind>>>,
-    since: HashMap<Ticket, Time>,
+    running: HashMap<Ticket, Time>,
+    run: Duration,
     gate: GateControl,
-    waited: Duration,
-    started: u32,
     next: u64,
 }
 
@@ -67,25 +73,32 @@
                 Effect::Preempt(_) => (),
             }
         }
-        let oldest = self
-            .since
-            .values()
-            .min()
-            .map_or(Duration::ZERO, |at| now.since(*at));
-        let mean = match self.started {
-            0 => oldest,
-            started => self.waited / started,
+        let load = self.admission.load();
+        let slots = SlotUse {
+            limit: load.limit,
+            run: self.run,
+        };
+        self.gate.observe(slots, now);
+    }
+
+    /// Learns the mean time of a run from one that came to its end.
+    fn note_run(&mut self, permit: &Permit, now: Time) {
+        let Some(began) = self.running.remove(&permit.ticket) else {
+            return;
         };
-        if self.gate.observe(mean, now) {
-            self.waited = Duration::ZERO;
-            self.started = 0;
+        if permit.ending == Ending::Cancelled {
+            return;
         }
+        let took = now.since(began);
+        self.run = match self.run.is_zero() {
+            true => took,
+            false => self.run.mul_f64(1.0 - RUN_WEIGHT) + took.mul_f64(RUN_WEIGHT),
+        };
     }
 
     fn tell(&mut self, ticket: Ticket, verdict: Result<(), NotRunKind>, now: Time) {
-        if let Some(since) = self.since.remove(&ticket) {
-            self.waited += now.since(since);
-            self.started += 1;
+        if verdict.is_ok() {
+            self.running.insert(ticket, now);
         }
         if let Some(tx) = self.waiters.remove(&ticket) {
             // A request whose caller has left gives the slot back when its permit is dropped.
@@ -101,10 +114,9 @@
         let state = State {
             admission: Admission::with_config(config(FIRST_SLOTS), now),
             waiters: HashMap::new(),
-            since: HashMap::new(),
+            running: HashMap::new(),
+            run: Duration::ZERO,
             gate: GateControl::new(now),
-            waited: Duration::ZERO,
-            started: 0,
             next: 0,
         };
         Intake {
@@ -152,7 +164,8 @@
         state.next += 1;
         let ticket = Ticket(state.next);
         state.waiters.insert(ticket, tx);
-        state.since.insert(ticket, now);
+        let queued = state.admission.load().queued;
+        state.gate.arrived(queued);
         let job = Job {
             ticket,
             priority: ask.priority,
@@ -221,7 +234,7 @@
         let mut effects = Vec::new();
         let mut state = self.lock();
         state.waiters.remove(&permit.ticket);
-        state.since.remove(&permit.ticket);
+        state.note_run(permit, now);
         if !permit.told && !state.admission.withdraw(permit.ticket, now, &mut effects) {
             state
                 .admission
@@ -261,6 +274,7 @@
 
 fn config(slots: u32) -> AdmissionConfig {
     AdmissionConfig {
+        queue: slots * QUEUE_PER_SLOT,
         adaptive_limit: false,
         preemption: false,
         ..AdmissionConfig::full(slots)
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,7 +37,9 @@
 use crate::clock::Clock;
 use crate::clock::Time;
 use crate::coordination::crash::CrashWatch;
+use crate::coordination::entry::Entry;
 use crate::coordination::fanout::Fanout;
+use crate::coordination::link::LinkConfig;
 use crate::coordination::origin::Origins;
 use crate::coordination::poison::CrashReport;
 use crate::coordination::poison::Suspects;
@@ -75,9 +77,16 @@
 /// Time for which a target that refused a connection gets no further one.
 const DOWN_FOR: Duration = Duration::from_millis(150);
 
+/// Time between two looks at the own entry because of a hint.
+const HINT_PERIOD: Duration = Duration::from_millis(400);
+
 /// Time after the store came back within which a missing entry does not mean that a target left.
 const STORE_SETTLES: Duration = Duration::from_millis(2_500);
 
+/// Bytes a second that one node may send to each other region. Distance keeps the use of the link
+/// low; the budget is there for the link's sake alone.
+const REGION_BYTES_PER_S: f64 = 200_000.0;
+
 /// What a node is told when it starts, and again when its settings change.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelayConfig {
@@ -122,6 +131,8 @@
     pub spend: RetrySpend,
     /// Gates of the routes.
     pub gates: Gates,
+    /// Shares of the routes that enter.
+    pub entry: Entry,
     /// Origins of the requests for the own target.
     pub origins: Origins,
     /// Calls that the runs of the own target make.
@@ -147,6 +158,7 @@
     intake: Arc<Intake>,
     target: TargetClient,
     target_down: Mutex<Option<Time>>,
+    hinted: Mutex<Option<Time>>,
     links: Arc<Links>,
     figures: Figures,
     phase: watch::Sender<Phase>,
@@ -184,10 +196,11 @@
             region: cfg.region.clone(),
         };
         let decisions = Decisions {
-            router: Router::new(home, RoutingConfig::default(), now),
+            router: Router::new(home, routing(), now),
             split: Split::new(rng.next_u64()),
             spend: RetrySpend::new(cfg.retry_share, cfg.retry_window),
             gates: Gates::default(),
+            entry: Entry::default(),
             origins: Origins::default(),
             fanout: Fanout::default(),
             suspects: Suspects::new(),
@@ -205,6 +218,7 @@
             intake: Arc::new(Intake::new(clock.clone())),
             target: TargetClient::new(dialect),
             target_down: Mutex::default(),
+            hinted: Mutex::default(),
             links: Arc::new(Links::new(incarnation)),
             figures: Figures::new(),
             phase: watch::Sender::new(Phase::Serving),
@@ -310,7 +324,7 @@
         self.view().own.clone()
     }
 
-    /// Waits until another target is listed at the own address.
+    /// Waits until another target is listed at the own address, or the own one may be leaving.
     pub async fn own_changed(&self) {
         self.own_changed.notified().await;
     }
@@ -430,47 +444,53 @@
         let cfg = self.cfg();
         let now = self.now();
         let shaky = self.store_state().is_shaky(STORE_SETTLES, now);
-        let (instances, own_is_new) = {
+        let (instances, own_is_new, leaves) = {
             let mut view = self.write_view();
             let before = view.clone();
             let mut next = View::clone(&before);
             next.merge(list, cfg.target, shaky, now);
             let own_is_new = !next.has_same_own(&before);
-            if next.targets == before.targets && !own_is_new {
-                *view = Arc::new(next);
+            let leaves = next.own_leaving && !before.own_leaving;
+            let changed = next.targets != before.targets || own_is_new || leaves;
+            *view = Arc::new(next);
+            if !changed {
                 return;
             }
-            *view = Arc::new(next);
-            (view.instances(), own_is_new)
+            (view.instances(), own_is_new, leaves)
         };
         log::info!(revision = revision, targets = instances.len(); "list of targets changed");
         self.decisions().router.sync(&instances, now);
+        if leaves {
+            log::info!(revision = revision; "own target is leaving, by the list");
+        }
         if own_is_new {
             self.meet_own();
         }
     }
 
-    /// Takes over news about the own target.
-    pub fn take_own(&self, name: &InstanceName, news: TargetNews, revision: u64) {
-        let shaky = self.store_state().is_shaky(STORE_SETTLES, self.now());
+    /// Takes over news about the own target. Returns false if they may be the store's own trouble,
+    /// so that they must be read again.
+    pub fn take_own(&self, name: &InstanceName, news: TargetNews, revision: u64) -> bool {
         let leaving = match &news {
-            TargetNews::Same => return,
+            TargetNews::Same => return true,
             TargetNews::Listed(listed) => listed.instance.state == InstanceState::Leaving,
-            TargetNews::Gone => !shaky,
+            TargetNews::Gone if self.store_state().is_shaky(STORE_SETTLES, self.now()) => {
+                return false;
+            }
+            TargetNews::Gone => true,
         };
-        if !leaving {
-            return;
-        }
         let mut view = self.write_view();
-        if view.own_name() != Some(name) || view.own_leaving {
-            return;
+        if !leaving || view.own_name() != Some(name) || view.own_leaving {
+            return true;
         }
         let next = View {
             own_leaving: true,
             ..View::clone(&view)
         };
         *view = Arc::new(next);
+        drop(view);
         log::info!(target:% = name, revision = revision; "own target is leaving");
+        true
     }
 
     /// Notes the start of another target at the own address.
@@ -560,23 +580,43 @@
         self.decisions().suspects.report(now, report);
     }
 
-    /// Notes whether the target closed the connection with its answer, which it does when it is
-    /// leaving.
-    pub fn note_answer(&self, _closes: bool) {
+    /// Notes an answer of the own target. One that closes the connection hints that the target is
+    /// leaving, which the store is asked about at once, but not for each answer.
+    pub fn note_answer(&self, closes: bool) {
         *self.target_down.lock().unwrap_or_else(|p| p.into_inner()) = None;
+        if !closes || self.view().own_leaving {
+            return;
+        }
+        let now = self.now();
+        let mut hinted = self.hinted.lock().unwrap_or_else(|p| p.into_inner());
+        if hinted.is_none_or(|at| now.since(at) >= HINT_PERIOD) {
+            *hinted = Some(now);
+            self.own_changed.notify_waiters();
+        }
     }
 
-    /// Returns the gate of a route at the own target: its own, or that of a service behind it.
-    pub fn gate_of(&self, route: &str) -> Gate {
+    /// Returns the strictest gate on the way of a route from the own target on, and the slot time
+    /// in milliseconds that one request takes there.
+    pub fn gate_of(&self, route: &str) -> (Gate, f64) {
         let now = self.now();
         let own = self.intake.gate();
         let decisions = self.decisions();
+        let own_cost = decisions.fanout.run_time(route).as_secs_f64() * 1_000.0;
         let behind = decisions.fanout.children(route);
         let calls = behind
             .iter()
             .filter(|child| !decisions.gates.is_root(child));
-        let gates = calls.map(|child| decisions.gates.gate(child, now));
-        gates.fold(own, Gate::min)
+        let gates = calls.map(|child| {
+            let calls = decisions.fanout.calls_per_run(route, child);
+            let cost = calls * decisions.gates.cost_ms(child);
+            (decisions.gates.gate(child, now), cost)
+        });
+        gates.fold((own, own_cost), |strictest, gate| {
+            match gate.0 < strictest.0 {
+                true => gate,
+                false => strictest,
+            }
+        })
     }
 
     /// Notes where a request for the own target began.
@@ -593,9 +633,11 @@
         let own = view.own.as_ref().map(|own| &own.instance.service);
         let root =
             own.is_some_and(|own| self.decisions().origins.is_root(route, own, view.services));
+        let (gate, cost_ms) = self.gate_of(route);
         LoadReport {
             percent: self.intake.percent(),
-            gate: self.gate_of(route).to_byte(),
+            gate: gate.to_byte(),
+            cost_ms: cost_ms as u16,
             root,
             version: self.version(),
         }
@@ -605,3 +647,14 @@
         self.view.write().unwrap_or_else(|p| p.into_inner())
     }
 }
+
+fn routing() -> RoutingConfig {
+    let link = LinkConfig {
+        bytes_per_s: REGION_BYTES_PER_S,
+        ..LinkConfig::default()
+    };
+    RoutingConfig {
+        link,
+        ..RoutingConfig::default()
+    }
+}
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -72,11 +72,10 @@
             self.missing.remove(&listed.instance.name);
             targets.push(listed);
         }
+        let taken = newest_at_each_address(&mut targets);
         for (name, old) in known {
             let since = *self.missing.entry(name.clone()).or_insert(now);
-            let replaced = targets
-                .iter()
-                .any(|t| t.instance.ingress == old.instance.ingress);
+            let replaced = taken.contains(&old.instance.ingress);
             let kept = shaky || now.since(since) < MISSING_KEPT;
             match kept && !replaced {
                 true => targets.push(old),
@@ -108,6 +107,18 @@
     }
 }
 
+/// Keeps the newest target at each address: one that started later has taken the place of any
+/// other, whose entry lapses in time. Returns the addresses.
+fn newest_at_each_address(targets: &mut Vec<Listed>) -> HashSet<SocketAddr> {
+    let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+    for target in targets.iter() {
+        let born = newest.entry(target.instance.ingress).or_default();
+        *born = target.born.max(*born);
+    }
+    targets.retain(|t| newest.get(&t.instance.ingress) == Some(&t.born));
+    newest.into_keys().collect()
+}
+
 /// A target that was leaving stays so, whatever an older list says.
 fn keep_leaving(old: &Listed, new: &mut Listed) {
     if old.born == new.born && old.instance.state == InstanceState::Leaving {
