--- a/src/protocol/reading.rs
+++ b/src/protocol/reading.rs
@@ -9,6 +9,9 @@
 use crate::instance::Instance;
 use crate::instance::InstanceName;
 
+/// Revision of a reading that another node gave from what it knows.
+pub const NOT_READ: u64 = 0;
+
 /// What to read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Query {
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -15,6 +15,7 @@
 use crate::clock::Time;
 use crate::instance::InstanceName;
 use crate::protocol::reading::Content;
+use crate::protocol::reading::NOT_READ;
 use crate::protocol::reading::Query;
 use crate::protocol::reading::Reading;
 use crate::relay::Relay;
@@ -208,12 +209,13 @@
         };
         match result {
             Ok(reading) => {
-                pause = Pause::new();
                 revision = Some(reading.revision);
                 if let Content::Routes(Some(table)) = reading.content {
                     relay.take_routes(table.indexed(), reading.revision);
                 }
-                if !relay.has_routes() {
+                if relay.has_routes() && reading.revision != NOT_READ {
+                    pause = Pause::new();
+                } else {
                     revision = None;
                     pause.wait().await;
                 }
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -47,6 +47,12 @@
 /// Time for which a node that could not be reached is not tried again.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(250);
 
+/// Time between two tries to greet a node that was lost.
+const GREET_PERIOD: Duration = Duration::from_millis(500);
+
+/// Tries to greet a node that was lost.
+const GREETINGS: u32 = 16;
+
 /// Messages that wait to be written on one connection, at most.
 const MAX_WAITING: usize = 4_096;
 
@@ -217,12 +223,30 @@
         let (rd, wr) = stream.into_split();
         let mut open = Open::default();
         let end = open.run(self.incarnation, rd, wr, &mut orders).await;
+        let owed = open.runs.len();
+        open.lose_all();
+        refuse_all(orders);
         if let Err(e) = end {
-            log::info!(peer:% = address, error:% = e, owed = open.runs.len(); "node lost");
+            log::info!(peer:% = address, error:% = e, owed = owed; "node lost");
             self.failed(address);
+            self.greet(address).await;
+        }
+    }
+
+    /// Connects again to a node that was lost, so that it meets others if it starts anew while the
+    /// store does not answer it.
+    async fn greet(self: &Arc<Links>, address: SocketAddr) {
+        for _ in 0..GREETINGS {
+            self.link(address);
+            tokio::time::sleep(GREET_PERIOD).await;
+            if self
+                .lock()
+                .get(&address)
+                .is_some_and(|l| !l.orders.is_closed())
+            {
+                return;
+            }
         }
-        open.lose_all();
-        refuse_all(orders);
     }
 
     fn failed(&self, address: SocketAddr) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
 pub mod target;
 pub mod view;
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -80,6 +81,9 @@
 /// Time between two looks at the own entry because of a hint.
 const HINT_PERIOD: Duration = Duration::from_millis(400);
 
+/// Connected nodes that are remembered, at most.
+const MAX_HEARD: usize = 32;
+
 /// Time after the store came back within which a missing entry does not mean that a target left.
 const STORE_SETTLES: Duration = Duration::from_millis(2_500);
 
@@ -159,6 +163,7 @@
     target: TargetClient,
     target_down: Mutex<Option<Time>>,
     hinted: Mutex<Option<Time>>,
+    heard: Mutex<Vec<IpAddr>>,
     links: Arc<Links>,
     figures: Figures,
     phase: watch::Sender<Phase>,
@@ -219,6 +224,7 @@
             target: TargetClient::new(dialect),
             target_down: Mutex::default(),
             hinted: Mutex::default(),
+            heard: Mutex::default(),
             links: Arc::new(Links::new(incarnation)),
             figures: Figures::new(),
             phase: watch::Sender::new(Phase::Serving),
@@ -364,26 +370,56 @@
         result
     }
 
-    /// Reads the store for another node.
+    /// Reads the store for another node, or tells it what this node knows if the store does not
+    /// answer here either.
     pub async fn read_store_for_other(&self, query: Query) -> Option<Reading> {
-        self.read_store(query).await.ok()
+        match self.read_store(query.clone()).await {
+            Ok(reading) => Some(reading),
+            Err(StoreError::Compacted) => None,
+            Err(_) => self.view().answer(&query),
+        }
     }
 
-    /// Returns the addresses of up to `most` other nodes, nearest first.
-    pub fn some_peers(&self, most: usize) -> Vec<SocketAddr> {
+    /// Notes that a node at `ip` is connected, which is how a node that cannot read the list finds
+    /// others.
+    pub fn heard_from(&self, ip: IpAddr) {
+        let mut heard = self.heard.lock().unwrap_or_else(|p| p.into_inner());
+        heard.retain(|known| *known != ip);
+        if heard.len() >= MAX_HEARD {
+            heard.remove(0);
+        }
+        heard.push(ip);
+    }
+
+    /// Returns the other nodes that are listed, and those that are connected if none is.
+    fn known_peers(&self) -> Vec<(bool, SocketAddr)> {
         let cfg = self.cfg();
         let view = self.view();
-        let mut peers: Vec<(bool, u64, SocketAddr)> = {
-            let mut decisions = self.decisions();
-            view.targets
-                .iter()
-                .map(|listed| &listed.instance)
-                .filter(|instance| instance.peer.ip() != cfg.peers.ip())
-                .map(|i| (i.region != cfg.region, decisions.rng.next_u64(), i.peer))
-                .collect()
-        };
-        peers.sort_unstable();
-        peers
+        let listed = view.targets.iter().map(|t| &t.instance);
+        let others = listed.filter(|instance| instance.peer.ip() != cfg.peers.ip());
+        let peers: Vec<(bool, SocketAddr)> =
+            others.map(|i| (i.region != cfg.region, i.peer)).collect();
+        if !peers.is_empty() {
+            return peers;
+        }
+        let heard = self.heard.lock().unwrap_or_else(|p| p.into_inner());
+        let port = cfg.peers.port();
+        heard
+            .iter()
+            .map(|ip| (false, SocketAddr::new(*ip, port)))
+            .collect()
+    }
+
+    /// Returns the addresses of up to `most` other nodes, those of the own region first.
+    pub fn some_peers(&self, most: usize) -> Vec<SocketAddr> {
+        let known = self.known_peers();
+        let mut decisions = self.decisions();
+        let mut drawn: Vec<(bool, u64, SocketAddr)> = known
+            .into_iter()
+            .map(|(far, peer)| (far, decisions.rng.next_u64(), peer))
+            .collect();
+        drawn.sort_unstable();
+        drawn
             .into_iter()
             .map(|(_, _, peer)| peer)
             .take(most)
@@ -517,7 +553,11 @@
         if view.own_name() != Some(name) {
             return Err(NotRunKind::TargetUnreachable);
         }
-        if view.own_leaving || self.phase() != Phase::Serving {
+        if self.phase() != Phase::Serving {
+            // The node stops, which says nothing about its target.
+            return Err(NotRunKind::NotReady);
+        }
+        if view.own_leaving {
             return Err(NotRunKind::Draining);
         }
         let down = *self.target_down.lock().unwrap_or_else(|p| p.into_inner());
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -42,6 +42,7 @@
         match listener.accept().await {
             Ok((stream, from)) => {
                 let relay = relay.clone();
+                relay.heard_from(from.ip());
                 tokio::spawn(async move {
                     if let Err(e) = serve(relay, stream).await {
                         log::debug!(peer:% = from, error:% = e; "connection of a node ended");
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -12,7 +12,11 @@
 use crate::instance::InstanceName;
 use crate::instance::InstanceState;
 use crate::instance::ServiceName;
+use crate::protocol::reading::Content;
 use crate::protocol::reading::Listed;
+use crate::protocol::reading::NOT_READ;
+use crate::protocol::reading::Query;
+use crate::protocol::reading::Reading;
 
 /// Time for which a target that is missing from the list is still used. The node beside it refuses
 /// if it has left; a list that is old or short takes nothing away at once.
@@ -41,6 +45,20 @@
         self.own.as_ref().map(|own| &own.instance.name)
     }
 
+    /// Answers a query for another node from what is known here. The revision says that the store
+    /// was not read.
+    pub fn answer(&self, query: &Query) -> Option<Reading> {
+        let content = match query {
+            Query::Routes => Content::Routes(Some(RouteTable::clone(self.routes.as_deref()?))),
+            Query::Targets if !self.targets.is_empty() => Content::Targets(self.targets.clone()),
+            _ => return None,
+        };
+        Some(Reading {
+            revision: NOT_READ,
+            content,
+        })
+    }
+
     /// Returns whether the own target is the same, and in the same life, as in `other`.
     pub fn has_same_own(&self, other: &View) -> bool {
         let life = |view: &View| {
