--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::call::Priority;
+use crate::clock::Time;
 use crate::instance::ServiceName;
 
 /// Requests, counted from the start, over which a split comes back to where it began.
@@ -133,14 +134,35 @@
     }
 }
 
+/// Excess of a part's share of the requests that were run, above its weight's, from which on its
+/// requests are refused.
+const MAX_EXCESS: f64 = 0.08;
+
+/// Requests beyond that excess that are let through, so that small numbers say nothing.
+const EXCESS_SLACK: f64 = 0.8;
+
+/// Time after which the requests that were run weigh half.
+const RUN_HALF_LIFE: Duration = Duration::from_secs(6);
+
+/// Requests of a route that were run, by part.
+#[derive(Debug, Default)]
+struct Runs {
+    parts: HashMap<ServiceName, f64>,
+    halved: Time,
+}
+
 /// Splits the requests of each route among its parts.
 ///
+/// While one part turns requests away, the others are held to their shares: what does not fit one
+/// part is refused there, and does not tip the split.
+///
 /// A stride that is irrational to the total keeps the share of every part close to its weight in
 /// any run of requests, and nodes that start at different points do not move in step.
 #[derive(Debug)]
 pub struct Split {
     start: u64,
     counts: HashMap<Arc<str>, u64>,
+    runs: HashMap<Arc<str>, Runs>,
 }
 
 impl Split {
@@ -149,6 +171,7 @@
         Split {
             start: start % SPLIT_PERIOD,
             counts: HashMap::new(),
+            runs: HashMap::new(),
         }
     }
 
@@ -157,6 +180,33 @@
         let names: std::collections::HashSet<&str> =
             table.routes().map(|route| route.name.as_ref()).collect();
         self.counts.retain(|name, _| names.contains(name.as_ref()));
+        self.runs.clear();
+    }
+
+    /// Counts a request of `route` that was run by a part.
+    pub fn ran(&mut self, route: &Route, part: &ServiceName, now: Time) {
+        if route.parts.len() < 2 {
+            return;
+        }
+        let runs = self.runs.entry(route.name.clone()).or_default();
+        if now.since(runs.halved) >= RUN_HALF_LIFE {
+            runs.halved = now;
+            runs.parts.values_mut().for_each(|count| *count /= 2.0);
+        }
+        *runs.parts.entry(part.clone()).or_default() += 1.0;
+    }
+
+    /// Returns whether a part may run another request of `route` without exceeding its share.
+    pub fn may_run(&self, route: &Route, part: &ServiceName) -> bool {
+        let Some(runs) = self.runs.get(&route.name) else {
+            return true;
+        };
+        let total: u32 = route.parts.iter().map(|p| p.weight).sum();
+        let own = route.parts.iter().find(|p| p.service == *part);
+        let weight = own.map_or(0.0, |p| f64::from(p.weight)) / f64::from(total.max(1));
+        let all: f64 = runs.parts.values().sum();
+        let run = runs.parts.get(part).copied().unwrap_or_default();
+        run <= (weight + MAX_EXCESS) * all + EXCESS_SLACK
     }
 
     /// Returns the service that the next request of `route` goes to.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -150,6 +150,14 @@
         if let Some(entering) = self.refused_at_root() {
             return self.refuse(NotRunKind::Shed, entering);
         }
+        if !self
+            .relay
+            .decisions()
+            .split
+            .may_run(self.route, &self.service)
+        {
+            return self.refuse(NotRunKind::Overloaded, 0.5);
+        }
         if !self.root {
             let now = self.relay.now();
             self.relay.decisions().fanout.called(&self.route.name, now);
@@ -452,6 +460,10 @@
         }
         let mut decisions = self.call.relay.decisions();
         decisions.router.answered(self.pick, &seen, now);
+        if !matches!(reply.ended, Ended::NotRun { .. }) {
+            let Call { route, service, .. } = self.call;
+            decisions.split.ran(route, service, now);
+        }
         if let Some(load) = reply.load {
             let report = GateReport {
                 gate: Gate::from_byte(load.gate),
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -142,6 +142,11 @@
         self.failed.replace(now).is_none()
     }
 
+    /// Returns when the store last answered again, nothing while it fails.
+    pub fn recovered(&self) -> Option<Time> {
+        self.recovered.filter(|_| self.failed.is_none())
+    }
+
     /// Returns whether the store failed within `span`, or came back only within it.
     pub fn is_shaky(&self, span: Duration, now: Time) -> bool {
         self.failed.is_some() || self.recovered.is_some_and(|at| now.since(at) < span)
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -98,6 +99,7 @@
 
 /// The connections of a node to all others.
 pub struct Links {
+    own: IpAddr,
     incarnation: u64,
     links: Mutex<HashMap<SocketAddr, Link>>,
     unreachable: Mutex<HashMap<SocketAddr, Instant>>,
@@ -105,9 +107,11 @@
 }
 
 impl Links {
-    /// Builds the connections of a node in the given incarnation; each is opened when it is used.
-    pub fn new(incarnation: u64) -> Links {
+    /// Builds the connections of the node at `own` in the given incarnation; each is opened when it
+    /// is used.
+    pub fn new(own: IpAddr, incarnation: u64) -> Links {
         Links {
+            own,
             incarnation,
             links: Mutex::default(),
             unreachable: Mutex::default(),
@@ -165,6 +169,11 @@
         }
     }
 
+    /// Closes all connections.
+    pub fn close_all(&self) {
+        self.lock().clear();
+    }
+
     /// Tells the node at `address`, over a new connection if need be.
     pub fn tell(self: &Arc<Links>, address: SocketAddr, report: &CrashReport) {
         let order = Order::Tell(Frame::Crash(report.clone()));
@@ -206,7 +215,7 @@
     }
 
     async fn serve(self: Arc<Links>, address: SocketAddr, mut orders: mpsc::Receiver<Order>) {
-        let connected = timeout(CONNECT_WITHIN, socket::connect(address)).await;
+        let connected = timeout(CONNECT_WITHIN, socket::connect(self.own, address)).await;
         let stream = match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
             Ok(stream) => stream,
             Err(e) => {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -195,6 +195,7 @@
         let now = clock.now();
         let mut rng = ChaCha12Rng::seed_from_u64(seed);
         let incarnation = rng.next_u64();
+        let own_ip = cfg.peers.ip();
         let home = Home {
             instance: cfg.name.clone(),
             domain: cfg.domain.clone(),
@@ -225,7 +226,7 @@
             target_down: Mutex::default(),
             hinted: Mutex::default(),
             heard: Mutex::default(),
-            links: Arc::new(Links::new(incarnation)),
+            links: Arc::new(Links::new(own_ip, incarnation)),
             figures: Figures::new(),
             phase: watch::Sender::new(Phase::Serving),
             newer: Notify::new(),
@@ -507,28 +508,43 @@
     /// Takes over news about the own target. Returns false if they may be the store's own trouble,
     /// so that they must be read again.
     pub fn take_own(&self, name: &InstanceName, news: TargetNews, revision: u64) -> bool {
-        let leaving = match &news {
+        let (leaving, gone) = match &news {
             TargetNews::Same => return true,
-            TargetNews::Listed(listed) => listed.instance.state == InstanceState::Leaving,
-            TargetNews::Gone if self.store_state().is_shaky(STORE_SETTLES, self.now()) => {
-                return false;
-            }
-            TargetNews::Gone => true,
+            TargetNews::Listed(own) => (own.instance.state == InstanceState::Leaving, false),
+            TargetNews::Gone if self.may_have_lost_entries() => return false,
+            TargetNews::Gone => (false, true),
         };
         let mut view = self.write_view();
-        if !leaving || view.own_name() != Some(name) || view.own_leaving {
+        let changes = (leaving && !view.own_leaving) || gone != view.own_gone;
+        if !changes || view.own_name() != Some(name) {
             return true;
         }
         let next = View {
-            own_leaving: true,
+            own_leaving: view.own_leaving || leaving,
+            own_gone: gone,
             ..View::clone(&view)
         };
         *view = Arc::new(next);
         drop(view);
-        log::info!(target:% = name, revision = revision; "own target is leaving");
+        log::info!(
+            target:% = name, revision = revision, leaving = leaving, gone = gone;
+            "own target is leaving or back"
+        );
         true
     }
 
+    /// Returns whether a missing entry may be missing only because the store was away. Once the
+    /// list has been read again and is about whole, it is not.
+    fn may_have_lost_entries(&self) -> bool {
+        let state = self.store_state();
+        if !state.is_shaky(STORE_SETTLES, self.now()) {
+            return false;
+        }
+        let view = self.view();
+        let read_since = state.recovered().is_some_and(|at| view.listed_at > at);
+        !read_since || view.is_list_short()
+    }
+
     /// Notes the start of another target at the own address.
     fn meet_own(&self) {
         let own = self.own_target();
@@ -557,7 +573,7 @@
             // The node stops, which says nothing about its target.
             return Err(NotRunKind::NotReady);
         }
-        if view.own_leaving {
+        if view.own_leaving || view.own_gone {
             return Err(NotRunKind::Draining);
         }
         let down = *self.target_down.lock().unwrap_or_else(|p| p.into_inner());
@@ -624,7 +640,7 @@
     /// leaving, which the store is asked about at once, but not for each answer.
     pub fn note_answer(&self, closes: bool) {
         *self.target_down.lock().unwrap_or_else(|p| p.into_inner()) = None;
-        if !closes || self.view().own_leaving {
+        if !closes || self.view().own_leaving || self.view().own_gone {
             return;
         }
         let now = self.now();
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -15,6 +15,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
 use tokio_util::codec::FramedRead;
 
 use crate::protocol::frame;
@@ -36,14 +37,16 @@
 
 type Running = Arc<Mutex<HashMap<u32, AbortHandle>>>;
 
-/// Accepts other nodes for as long as the process runs.
+/// Accepts other nodes. Their connections end with the task.
 pub async fn accept(relay: Arc<Relay>, listener: TcpListener) {
+    let mut served = JoinSet::new();
     loop {
+        while served.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, from)) => {
                 let relay = relay.clone();
                 relay.heard_from(from.ip());
-                tokio::spawn(async move {
+                served.spawn(async move {
                     if let Err(e) = serve(relay, stream).await {
                         log::debug!(peer:% = from, error:% = e; "connection of a node ended");
                     }
--- a/src/relay/service.rs
+++ b/src/relay/service.rs
@@ -91,6 +91,15 @@
         &self.relay
     }
 
+    /// Ends at once, as a process that is killed.
+    pub fn kill(&self) {
+        self.callers.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        self.relay.links().close_all();
+        self.ready.close();
+        self.metrics.close();
+    }
+
     /// Takes no new work, finishes what runs within the grace, then stops.
     ///
     /// The target goes on running what it has begun, and its sub-calls enter here, so that the
--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -1,12 +1,14 @@
 //! Options of the sockets between nodes and callers.
 
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 /// Connections that wait to be accepted.
@@ -21,13 +23,15 @@
 /// Probes without an answer after which a connection is broken.
 const PROBES: u32 = 3;
 
-/// Connects to another node.
+/// Connects to another node from the own address, by which that node knows this one.
 ///
 /// # Errors
 ///
 /// If the node cannot be reached.
-pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
+pub async fn connect(own: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(own, 0))?;
+    let stream = socket.connect(address).await?;
     watch(&stream)?;
     Ok(stream)
 }
@@ -54,7 +58,7 @@
 ///
 /// If the address cannot be bound.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
+    let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
--- a/src/relay/view.rs
+++ b/src/relay/view.rs
@@ -35,6 +35,10 @@
     pub own: Option<Listed>,
     /// Whether that target is leaving, which it stays for the rest of its life.
     pub own_leaving: bool,
+    /// Whether the entry of that target is gone. It may come back if the store had lost it.
+    pub own_gone: bool,
+    /// When the list was read last.
+    pub listed_at: Time,
     /// Targets that are missing from the list, and since when.
     pub missing: HashMap<InstanceName, Time>,
 }
@@ -69,6 +73,11 @@
         life(self) == life(other)
     }
 
+    /// Returns whether so many entries are missing that the store has lost them.
+    pub fn is_list_short(&self) -> bool {
+        self.missing.len() * 2 > self.targets.len()
+    }
+
     /// Returns the instances that requests may go to, and those that are leaving.
     pub fn instances(&self) -> Vec<Instance> {
         self.targets.iter().map(|t| t.instance.clone()).collect()
@@ -77,6 +86,7 @@
     /// Merges a list. `own` is the address of the own target; with `shaky` the store failed just
     /// now, and a missing entry says nothing.
     pub fn merge(&mut self, list: Vec<Listed>, own: SocketAddr, shaky: bool, now: Time) {
+        self.listed_at = now;
         let mut known: HashMap<InstanceName, Listed> = self
             .targets
             .drain(..)
@@ -121,6 +131,7 @@
         });
         let leaving = newest.instance.state == InstanceState::Leaving;
         self.own_leaving = leaving || (same && self.own_leaving);
+        self.own_gone &= same;
         self.own = Some(newest);
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,12 +7,14 @@
 
 use std::time::Duration;
 
+use dragonflylead::clock::Time;
 use dragonflylead::instance::InstanceState;
 use dragonflylead::relay::Phase;
 use tokio::io::AsyncReadExt;
 
 use support::relay_fleet::Caller;
 use support::relay_fleet::DIALECT;
+use support::relay_fleet::PATIENCE;
 use support::relay_fleet::RelayFleet;
 use support::relay_fleet::request;
 use support::relay_fleet::table;
@@ -389,3 +391,72 @@
             .all(|member| !member.name.as_str().is_empty())
     );
 }
+
+#[tokio::test]
+async fn a_stopping_node_does_not_make_its_target_count_as_leaving() {
+    let mut fleet = RelayFleet::start(15, &["a", "b"]).await;
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
+    fleet.members[1].node.relay().enter(Phase::Leaving);
+    assert_eq!(caller.ask("GET", "/b/", "2", b"").await.status, 503);
+    assert_eq!(fleet.count("2"), 0);
+    fleet.restart(1).await;
+    let mut last = 0;
+    for at in 3..60 {
+        last = caller.ask("GET", "/b/", &at.to_string(), b"").await.status;
+        if last == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(last, 200, "its target serves again within 3 s");
+}
+
+#[tokio::test]
+async fn a_node_that_starts_while_the_store_is_down_learns_from_nodes_that_greet_it() {
+    let mut fleet = RelayFleet::start(16, &["a", "b"]).await;
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
+    for member in &fleet.members {
+        fleet
+            .store
+            .turn_away(member.node.relay().cfg().name.as_str());
+    }
+    fleet.restart(1).await;
+    fleet
+        .until(|fleet| fleet.members[1].node.relay().is_ready())
+        .await;
+    assert_eq!(fleet.members[1].node.relay().version(), 1);
+    assert!(fleet.members[1].node.relay().own_target().is_some());
+}
+
+#[tokio::test]
+async fn a_missing_entry_means_nothing_while_the_store_settles() {
+    let fleet = RelayFleet::start(17, &["a"]).await;
+    let relay = fleet.members[0].node.relay();
+    fleet.store.turn_away(relay.cfg().name.as_str());
+    fleet
+        .until(|fleet| {
+            fleet.members[0]
+                .node
+                .relay()
+                .store_state()
+                .is_shaky(PATIENCE, Time::ZERO)
+        })
+        .await;
+    let mut entries = Vec::new();
+    fleet
+        .store
+        .change(|targets| entries = std::mem::take(targets));
+    fleet.store.serve_all();
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert!(!relay.view().own_gone, "the store came back only just now");
+    fleet
+        .until(|fleet| fleet.members[0].node.relay().view().own_gone)
+        .await;
+    fleet.store.change(|targets| *targets = entries);
+    fleet
+        .until(|fleet| !fleet.members[0].node.relay().view().own_gone)
+        .await;
+    assert!(!relay.view().own_leaving);
+}
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -242,6 +242,25 @@
         held.expect("the condition holds in time");
     }
 
+    /// Ends the node of a member at once and starts it anew; its target goes on.
+    pub(crate) async fn restart(&mut self, at: usize) {
+        let member = &mut self.members[at];
+        let cfg = RelayConfig::clone(&member.node.relay().cfg());
+        let reader = self.store.reader(cfg.name.as_str());
+        let relay = Arc::new(Relay::new(cfg, DIALECT, reader, 1_000 + at as u64));
+        member.node.kill();
+        let started = async {
+            loop {
+                match RunningRelay::start(relay.clone()).await {
+                    Ok(node) => return node,
+                    Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+                }
+            }
+        };
+        let started = tokio::time::timeout(PATIENCE, started).await;
+        member.node = started.expect("the ports are free in time");
+    }
+
     /// Returns how often a request was run in the whole fleet.
     pub(crate) fn count(&self, id: &str) -> usize {
         self.members
