--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,7 @@
 use crate::policy::describe::explain;
 use crate::policy::diff::diff;
 use crate::policy::value::duration_text;
+use crate::story;
 
 /// Overload control for service call graphs.
 #[derive(Debug, Parser)]
@@ -57,6 +58,11 @@
         /// Policy file to compare with it
         new: PathBuf,
     },
+    /// Tell the story of one request from the log lines of several nodes, read from standard input
+    Story {
+        /// Request id, as the caller sent it
+        id: String,
+    },
     /// Show a surge and the recovery from it, on loopback in this process
     Demo,
     /// Show the state of live nodes at a glance
@@ -108,10 +114,25 @@
         Command::Status(args) => run_status(args, out),
         Command::Report(args) => run_report(args, out),
         Command::Measure(args) => run_measure(args, out).map(|()| Exit::Good),
+        Command::Story { id } => run_story(id, &io::read_to_string(io::stdin())?, out, err),
         Command::Demo => run_demo(out),
     }
 }
 
+fn run_story<O, E>(id: &str, text: &str, out: &mut O, err: &mut E) -> io::Result<Exit>
+where
+    O: Write,
+    E: Write,
+{
+    let told = story::tell(id, text.lines());
+    if told.is_empty() {
+        writeln!(err, "no line is about request `{id}`")?;
+        return Ok(Exit::Bad);
+    }
+    told.iter().try_for_each(|line| writeln!(out, "{line}"))?;
+    Ok(Exit::Good)
+}
+
 fn run_demo<O>(out: &mut O) -> io::Result<Exit>
 where
     O: Write,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod standin;
 pub mod state;
 pub mod status;
+pub mod story;
 pub mod table;
 pub mod timer;
 pub mod transport;
