--- /dev/null
+++ b/src/relay/answer.rs
@@ -0,0 +1,35 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use crate::http1::Header;
+
+/// An answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Builds an answer of this node's own.
+    pub fn own(status: u16, reason: &str) -> Answer {
+        Answer {
+            status,
+            headers: Vec::new(),
+            body: reason.as_bytes().to_vec(),
+        }
+    }
+
+    /// Tells the caller when to come back.
+    pub fn with_retry_after(mut self, wait: Duration) -> Answer {
+        let value = format!("{:.3}", wait.as_secs_f64());
+        self.headers
+            .push(("Retry-After".to_owned(), value.into_bytes()));
+        self
+    }
+}
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -10,16 +10,12 @@
 use crate::call::Priority;
 use crate::clock::Time;
 use crate::coordination::comeback;
-use crate::coordination::pressure::Gate;
-use crate::coordination::pressure::GateReport;
 use crate::coordination::route;
 use crate::coordination::route::Route;
 use crate::coordination::routing::Choice;
 use crate::coordination::routing::Pick;
 use crate::coordination::routing::Place;
 use crate::coordination::routing::Want;
-use crate::coordination::target::Observation;
-use crate::coordination::target::Verdict;
 use crate::error::ErrorKind;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
@@ -34,7 +30,9 @@
 use crate::protocol::frame::RunRequest;
 use crate::relay::Decisions;
 use crate::relay::Relay;
+use crate::relay::answer::Answer;
 use crate::relay::link::Reply;
+use crate::relay::offer::OfferWatch;
 use crate::relay::run;
 
 /// Instances that one request is offered to, at most. Each offer that is refused costs a hop.
@@ -46,35 +44,6 @@
 /// Load in percent of the own target from which on it is not preferred to others.
 const OWN_BUSY_PERCENT: u16 = 80;
 
-/// An answer to a caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answer {
-    /// Status code.
-    pub status: u16,
-    /// Headers.
-    pub headers: Vec<Header>,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
-impl Answer {
-    /// Builds an answer of this node's own.
-    pub fn own(status: u16, reason: &str) -> Answer {
-        Answer {
-            status,
-            headers: Vec::new(),
-            body: reason.as_bytes().to_vec(),
-        }
-    }
-
-    fn with_retry_after(mut self, wait: Duration) -> Answer {
-        let value = format!("{:.3}", wait.as_secs_f64());
-        self.headers
-            .push(("Retry-After".to_owned(), value.into_bytes()));
-        self
-    }
-}
-
 /// A request with what was decided about it.
 struct Call<'a> {
     relay: &'a Arc<Relay>,
@@ -317,12 +286,7 @@
     async fn offer(&self, pick: &Pick) -> Reply {
         let now = self.relay.now();
         self.relay.decisions().router.sent(pick, now);
-        let mut watch = OfferWatch {
-            call: self,
-            pick,
-            since: now,
-            ended: false,
-        };
+        let mut watch = OfferWatch::new(self.relay, self.route, &self.service, pick, now);
         self.may_run.store(true, Ordering::Relaxed);
         let req = self.run_request(pick, now);
         let reply = match self.is_here(pick) {
@@ -415,75 +379,3 @@
         self.relay.now().since(self.arrived).as_millis() as u64
     }
 }
-
-/// Tells the router how an offer ended, also if nobody waits for it any more.
-struct OfferWatch<'a> {
-    call: &'a Call<'a>,
-    pick: &'a Pick,
-    since: Time,
-    ended: bool,
-}
-
-impl OfferWatch<'_> {
-    fn ended(&mut self, reply: &Reply) {
-        self.ended = true;
-        let now = self.call.relay.now();
-        let verdict = match &reply.ended {
-            Ended::Answered { status, .. } if *status >= 500 => Verdict::Failed,
-            Ended::Answered { .. } => Verdict::Worked,
-            Ended::NotRun {
-                kind: NotRunKind::TargetUnreachable | NotRunKind::TargetRefused,
-                ..
-            } => Verdict::Unfit,
-            Ended::NotRun { .. } => Verdict::Refused,
-            Ended::Unknown(_) => Verdict::Failed,
-        };
-        let draining = matches!(
-            &reply.ended,
-            Ended::NotRun {
-                kind: NotRunKind::Draining,
-                ..
-            }
-        );
-        let bytes = match &reply.ended {
-            Ended::Answered { body, .. } => body.len() as u64,
-            _ => 0,
-        };
-        let seen = Observation {
-            load: reply.load.map(|load| f64::from(load.percent) / 100.0),
-            draining,
-            bytes,
-            ..Observation::of(verdict, now.since(self.since))
-        };
-        if let Some(load) = reply.load {
-            self.call.relay.hear_version(load.version);
-        }
-        let mut decisions = self.call.relay.decisions();
-        decisions.router.answered(self.pick, &seen, now);
-        if !matches!(reply.ended, Ended::NotRun { .. }) {
-            let Call { route, service, .. } = self.call;
-            decisions.split.ran(route, service, now);
-        }
-        if let Some(load) = reply.load {
-            let report = GateReport {
-                gate: Gate::from_byte(load.gate),
-                cost_ms: f64::from(load.cost_ms),
-                root: load.root,
-            };
-            let route = &self.call.route.name;
-            decisions.gates.report(route, report, now);
-        }
-    }
-}
-
-impl Drop for OfferWatch<'_> {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let now = self.call.relay.now();
-        let seen = Observation::of(Verdict::Abandoned, now.since(self.since));
-        let mut decisions = self.call.relay.decisions();
-        decisions.router.answered(self.pick, &seen, now);
-    }
-}
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -24,8 +24,8 @@
 use crate::http1::write;
 use crate::relay::Phase;
 use crate::relay::Relay;
+use crate::relay::answer::Answer;
 use crate::relay::call;
-use crate::relay::call::Answer;
 use crate::relay::run::ACCEPT_PAUSE;
 use crate::relay::socket;
 
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -9,42 +9,27 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use bytes::BytesMut;
-use futures_util::StreamExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout;
-use tokio_util::codec::FramedRead;
 
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
-use crate::protocol::frame;
 use crate::protocol::frame::Ended;
-use crate::protocol::frame::FRAME_VERSION;
 use crate::protocol::frame::Frame;
 use crate::protocol::frame::LoadReport;
 use crate::protocol::frame::RunRequest;
 use crate::protocol::reading::Query;
 use crate::protocol::reading::Reading;
+use crate::relay::open::Open;
+use crate::relay::open::Order;
 use crate::relay::socket;
 
 /// Longest wait for a connection to another node.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
-/// Time without a byte after which a node that owes an answer is asked for a sign of life.
-const PING_AFTER: Duration = Duration::from_millis(400);
-
-/// Time without a byte, while an answer is owed, after which the connection counts as broken.
-const SILENT_AFTER: Duration = Duration::from_millis(1_500);
-
-/// Time after which an unused connection is closed.
-const UNUSED_AFTER: Duration = Duration::from_secs(60);
-
 /// Time for which a node that could not be reached is not tried again.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(250);
 
@@ -57,9 +42,6 @@
 /// Messages that wait to be written on one connection, at most.
 const MAX_WAITING: usize = 4_096;
 
-/// Bytes gathered for one write.
-const WRITE_BATCH: usize = 64 * 1024;
-
 /// Reply to a request, with the load of the instance that gave it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
@@ -78,19 +60,13 @@
         Reply { ended, load: None }
     }
 
-    fn unknown(kind: UnknownKind) -> Reply {
+    /// Builds the reply to a request that may have run.
+    pub fn unknown(kind: UnknownKind) -> Reply {
         let ended = Ended::Unknown(kind);
         Reply { ended, load: None }
     }
 }
 
-enum Order {
-    Run(Box<RunRequest>, oneshot::Sender<Reply>),
-    Read(Query, oneshot::Sender<Option<Reading>>),
-    Cancel(u32),
-    Tell(Frame),
-}
-
 /// One connection, as its users see it.
 #[derive(Clone)]
 struct Link {
@@ -232,7 +208,7 @@
         let (rd, wr) = stream.into_split();
         let mut open = Open::default();
         let end = open.run(self.incarnation, rd, wr, &mut orders).await;
-        let owed = open.runs.len();
+        let owed = open.owed();
         open.lose_all();
         refuse_all(orders);
         if let Err(e) = end {
@@ -304,143 +280,3 @@
         }
     }
 }
-
-/// What an open connection waits for.
-#[derive(Default)]
-struct Open {
-    runs: HashMap<u32, oneshot::Sender<Reply>>,
-    reads: HashMap<u32, oneshot::Sender<Option<Reading>>>,
-    next_read: u32,
-}
-
-impl Open {
-    async fn run(
-        &mut self,
-        incarnation: u64,
-        rd: OwnedReadHalf,
-        mut wr: OwnedWriteHalf,
-        orders: &mut mpsc::Receiver<Order>,
-    ) -> io::Result<()> {
-        let mut frames = FramedRead::new(rd, frame::codec());
-        let mut out = BytesMut::new();
-        put(
-            &mut out,
-            &Frame::Hello {
-                version: FRAME_VERSION,
-                incarnation,
-            },
-        );
-        let mut heard = Instant::now();
-        let mut pinged = false;
-        loop {
-            if !out.is_empty() {
-                // A node that takes nothing for this long owes answers all the while.
-                match timeout(SILENT_AFTER, wr.write_all(&out)).await {
-                    Ok(written) => written?,
-                    Err(_) => return Err(io::ErrorKind::TimedOut.into()),
-                }
-                out.clear();
-            }
-            let owes = !self.runs.is_empty() || !self.reads.is_empty();
-            let (span, due) = match (owes, pinged) {
-                (true, false) => (PING_AFTER, Due::Ping),
-                (true, true) => (SILENT_AFTER, Due::Silent),
-                (false, _) => (UNUSED_AFTER, Due::Unused),
-            };
-            tokio::select! {
-                frame = frames.next() => {
-                    let bytes = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
-                    heard = Instant::now();
-                    pinged = false;
-                    self.take(&bytes)?;
-                }
-                order = orders.recv() => {
-                    let Some(order) = order else { return Ok(()) };
-                    if !owes {
-                        heard = Instant::now();
-                    }
-                    self.order(order, &mut out);
-                    while out.len() < WRITE_BATCH && let Ok(order) = orders.try_recv() {
-                        self.order(order, &mut out);
-                    }
-                }
-                () = tokio::time::sleep_until(heard + span) => match due {
-                    Due::Ping => {
-                        pinged = true;
-                        put(&mut out, &Frame::Ping);
-                    }
-                    Due::Silent => return Err(io::ErrorKind::TimedOut.into()),
-                    Due::Unused => return Ok(()),
-                }
-            }
-        }
-    }
-
-    fn order(&mut self, order: Order, out: &mut BytesMut) {
-        match order {
-            Order::Run(req, tx) => {
-                if tx.is_closed() {
-                    return;
-                }
-                self.runs.insert(req.number, tx);
-                put(out, &Frame::Run(req));
-            }
-            Order::Read(query, tx) => {
-                self.next_read = self.next_read.wrapping_add(1);
-                let number = self.next_read;
-                self.reads.insert(number, tx);
-                put(out, &Frame::Read { number, query });
-            }
-            Order::Cancel(number) => {
-                if self.runs.remove(&number).is_some() {
-                    put(out, &Frame::Cancel(number));
-                }
-            }
-            Order::Tell(frame) => put(out, &frame),
-        }
-    }
-
-    fn take(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let frame = frame::decode(bytes).map_err(io::Error::other)?;
-        match frame {
-            Frame::Reply {
-                number,
-                ended,
-                load,
-            } => {
-                if let Some(tx) = self.runs.remove(&number) {
-                    let load = Some(load);
-                    // A receiver that has gone does not wait for the reply.
-                    drop(tx.send(Reply { ended, load }));
-                }
-            }
-            Frame::ReadReply { number, reading } => {
-                if let Some(tx) = self.reads.remove(&number) {
-                    drop(tx.send(reading));
-                }
-            }
-            _ => (),
-        }
-        Ok(())
-    }
-
-    /// Whatever was sent may have run.
-    fn lose_all(&mut self) {
-        for (_, tx) in self.runs.drain() {
-            drop(tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
-        }
-        self.reads.clear();
-    }
-}
-
-enum Due {
-    Ping,
-    Silent,
-    Unused,
-}
-
-fn put(out: &mut BytesMut, frame: &Frame) {
-    if let Err(e) = frame::append(out, frame) {
-        log::error!("a message for another node was not encoded: {e}");
-    }
-}
--- /dev/null
+++ b/src/relay/offer.rs
@@ -0,0 +1,106 @@
+//! One offer of a request to an instance, as the decisions see it.
+
+use crate::clock::Time;
+use crate::coordination::pressure::Gate;
+use crate::coordination::pressure::GateReport;
+use crate::coordination::route::Route;
+use crate::coordination::routing::Pick;
+use crate::coordination::target::Observation;
+use crate::coordination::target::Verdict;
+use crate::error::NotRunKind;
+use crate::instance::ServiceName;
+use crate::protocol::frame::Ended;
+use crate::relay::Relay;
+use crate::relay::link::Reply;
+
+/// Tells the router how an offer ended, also if nobody waits for it any more.
+pub(super) struct OfferWatch<'a> {
+    relay: &'a Relay,
+    route: &'a Route,
+    service: &'a ServiceName,
+    pick: &'a Pick,
+    since: Time,
+    ended: bool,
+}
+
+impl<'a> OfferWatch<'a> {
+    /// Watches an offer that begins.
+    pub(super) fn new(
+        relay: &'a Relay,
+        route: &'a Route,
+        service: &'a ServiceName,
+        pick: &'a Pick,
+        since: Time,
+    ) -> OfferWatch<'a> {
+        OfferWatch {
+            relay,
+            route,
+            service,
+            pick,
+            since,
+            ended: false,
+        }
+    }
+
+    /// Notes how the offer ended.
+    pub(super) fn ended(&mut self, reply: &Reply) {
+        self.ended = true;
+        let now = self.relay.now();
+        let verdict = match &reply.ended {
+            Ended::Answered { status, .. } if *status >= 500 => Verdict::Failed,
+            Ended::Answered { .. } => Verdict::Worked,
+            Ended::NotRun {
+                kind: NotRunKind::TargetUnreachable | NotRunKind::TargetRefused,
+                ..
+            } => Verdict::Unfit,
+            Ended::NotRun { .. } => Verdict::Refused,
+            Ended::Unknown(_) => Verdict::Failed,
+        };
+        let draining = matches!(
+            &reply.ended,
+            Ended::NotRun {
+                kind: NotRunKind::Draining,
+                ..
+            }
+        );
+        let bytes = match &reply.ended {
+            Ended::Answered { body, .. } => body.len() as u64,
+            _ => 0,
+        };
+        let seen = Observation {
+            load: reply.load.map(|load| f64::from(load.percent) / 100.0),
+            draining,
+            bytes,
+            ..Observation::of(verdict, now.since(self.since))
+        };
+        if let Some(load) = reply.load {
+            self.relay.hear_version(load.version);
+        }
+        let mut decisions = self.relay.decisions();
+        decisions.router.answered(self.pick, &seen, now);
+        if !matches!(reply.ended, Ended::NotRun { .. }) {
+            decisions.split.ran(self.route, self.service, now);
+        }
+        if let Some(load) = reply.load {
+            let report = GateReport {
+                gate: Gate::from_byte(load.gate),
+                cost_ms: f64::from(load.cost_ms),
+                root: load.root,
+            };
+            let route = &self.route.name;
+            decisions.gates.report(route, report, now);
+        }
+    }
+}
+
+impl Drop for OfferWatch<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let now = self.relay.now();
+        let seen = Observation::of(Verdict::Abandoned, now.since(self.since));
+        let mut decisions = self.relay.decisions();
+        decisions.router.answered(self.pick, &seen, now);
+    }
+}
