--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -219,6 +219,15 @@
         })
     }
 
+    /// Returns whether the instance of a pick was last told to have more calls than slots, by the
+    /// factor `crowded`.
+    pub fn is_crowded(&self, pick: &Pick, crowded: f64, now: Time) -> bool {
+        let group = self.groups.get(&pick.to.service);
+        let targets = group.into_iter().flat_map(|group| &group.targets);
+        let mut same = targets.filter(|target| target.instance.name == pick.to.name);
+        same.any(|target| target.score.load(now) >= crowded)
+    }
+
     /// Notes that an attempt is sent.
     pub fn sent(&mut self, pick: &Pick, now: Time) {
         if let Some(toll) = &pick.toll {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -41,6 +41,10 @@
 /// Least time left with which a request is sent on.
 const LEAST_REMAINING: Duration = Duration::from_millis(10);
 
+/// Calls for each slot of the near instances from which on another region is asked. Its bytes are
+/// dear, but a call that waits too long wastes the run that made it.
+const CROWDED: f64 = 1.25;
+
 /// Load in percent of the own target from which on it is not preferred to others.
 const OWN_BUSY_PERCENT: u16 = 80;
 
@@ -250,15 +254,20 @@
             tried,
             fresh_only: true,
         };
-        match router.choose(&near, now, rng) {
-            Choice::Send(pick) => Choice::Send(pick),
-            Choice::None(_) => {
-                let far = Want {
-                    cross_region: true,
-                    ..near
-                };
-                router.choose(&far, now, rng)
-            }
+        let nearest = router.choose(&near, now, rng);
+        let crowded = |pick: &Pick| router.is_crowded(pick, CROWDED, now);
+        if matches!(&nearest, Choice::Send(pick) if !crowded(pick)) {
+            return nearest;
+        }
+        let far = Want {
+            cross_region: true,
+            ..near
+        };
+        let farther = router.choose(&far, now, rng);
+        match (&nearest, &farther) {
+            (Choice::None(_), _) => farther,
+            (_, Choice::Send(pick)) if !router.is_crowded(pick, CROWDED, now) => farther,
+            _ => nearest,
         }
     }
 
--- a/tests/weighed_routing.rs
+++ b/tests/weighed_routing.rs
@@ -21,9 +21,11 @@
 use dragonflylead::coordination::subset::SubsetConfig;
 use dragonflylead::coordination::target::Observation;
 use dragonflylead::coordination::target::Verdict;
+use dragonflylead::instance::DomainName;
 use dragonflylead::instance::Instance;
 use dragonflylead::instance::InstanceName;
 use dragonflylead::instance::InstanceState;
+use dragonflylead::instance::RegionName;
 use dragonflylead::instance::ServiceName;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -359,3 +361,54 @@
     }
     insta::assert_snapshot!(table);
 }
+
+#[test]
+fn another_region_is_not_crowded_while_the_near_instances_are() {
+    let near = listed("near", "d", "r");
+    let far = listed("far", "e", "s");
+    let home = Home {
+        instance: InstanceName::new("own"),
+        domain: near.domain.clone(),
+        region: near.region.clone(),
+    };
+    let now = Time::from_millis(10);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut router = Router::new(home, RoutingConfig::default(), now);
+    router.sync(&[near.clone(), far.clone()], now);
+    let want = |cross_region| Want {
+        service: &near.service,
+        priority: Priority::Critical,
+        idempotent: true,
+        cross_region,
+        tried: &[],
+        fresh_only: true,
+    };
+    let Choice::Send(pick) = router.choose(&want(false), now, &mut rng) else {
+        panic!("the near instance takes it");
+    };
+    assert!(!router.is_crowded(&pick, 1.25, now));
+    router.sent(&pick, now);
+    let told = Observation {
+        load: Some(3.0),
+        ..Observation::of(Verdict::Worked, Duration::from_millis(5))
+    };
+    router.answered(&pick, &told, now);
+    assert!(router.is_crowded(&pick, 1.25, now));
+    let Choice::Send(pick) = router.choose(&want(true), now, &mut rng) else {
+        panic!("the far instance takes it");
+    };
+    assert_eq!(pick.to.name, far.name);
+    assert!(!router.is_crowded(&pick, 1.25, now));
+}
+
+fn listed(name: &str, domain: &str, region: &str) -> Instance {
+    Instance {
+        name: InstanceName::new(name),
+        service: ServiceName::new("s"),
+        domain: DomainName::new(domain),
+        region: RegionName::new(region),
+        ingress: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        state: InstanceState::Live,
+    }
+}
