One way to put a message on a connection, one fingerprint of what is asked for; drop an unread flag

open.rs and peer.rs each had the function that appends a message, call.rs and run.rs each the fingerprint by method, path and body. No behaviour changes.

--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -42,6 +42,19 @@
     pub body: &'a [u8],
 }
 
+/// Identifies what is asked for, whoever asks: the same when a caller asks again at any node.
+pub fn of_content(method: &str, path: &str, body: &[u8]) -> Fingerprint {
+    let parts = RequestParts {
+        caller: "",
+        service: "",
+        method,
+        path,
+        headers: &[],
+        body,
+    };
+    parts.fingerprint()
+}
+
 impl RequestParts<'_> {
     /// Computes the fingerprint.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -214,3 +214,10 @@
     out.extend_from_slice(&bytes);
     Ok(())
 }
+
+/// Appends a message with its length. One that cannot be serialized is left out and logged.
+pub fn put(out: &mut BytesMut, frame: &Frame) {
+    if let Err(e) = append(out, frame) {
+        log::error!("a message for another node was not encoded: {e}");
+    }
+}
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -19,8 +19,7 @@
 use crate::error::ErrorKind;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
-use crate::fingerprint::Fingerprint;
-use crate::fingerprint::RequestParts;
+use crate::fingerprint;
 use crate::http1::Header;
 use crate::http1::reader::Request;
 use crate::instance::InstanceName;
@@ -163,8 +162,10 @@
         if share >= 1.0 {
             return None;
         }
+        let Request { head, body } = self.request;
+        let asked = fingerprint::of_content(&head.method, &head.target, body);
         let luck = rng.random_range(0.0..1.0);
-        let admitted = entry.admits(self.fingerprint(), share, luck, now);
+        let admitted = entry.admits(asked, share, luck, now);
         (!admitted).then_some(share)
     }
 
@@ -174,19 +175,6 @@
         decisions.gates.turned_away(&self.route.name, now);
     }
 
-    /// Identifies what is asked for, the same when the caller asks again.
-    fn fingerprint(&self) -> Fingerprint {
-        let parts = RequestParts {
-            caller: "",
-            service: "",
-            method: &self.request.head.method,
-            path: &self.request.head.target,
-            headers: &[],
-            body: &self.request.body,
-        };
-        parts.fingerprint()
-    }
-
     /// Offers the request to one instance after the other, until one answers.
     async fn place(&self) -> Result<Answer, ErrorKind> {
         let mut tried: Vec<InstanceName> = Vec::new();
--- a/src/relay/intake.rs
+++ b/src/relay/intake.rs
@@ -144,10 +144,7 @@
     pub async fn admit(self: &Arc<Intake>, ask: Ask) -> Result<Permit, NotRunKind> {
         let (mut permit, rx) = self.offer(ask);
         match rx.await {
-            Ok(Ok(())) => {
-                permit.started = true;
-                Ok(permit)
-            }
+            Ok(Ok(())) => Ok(permit),
             Ok(Err(kind)) => {
                 permit.told = true;
                 Err(kind)
@@ -182,7 +179,6 @@
         let permit = Permit {
             intake: self.clone(),
             ticket,
-            started: false,
             told: false,
             ending: Ending::Cancelled,
         };
@@ -253,7 +249,6 @@
 pub struct Permit {
     intake: Arc<Intake>,
     ticket: Ticket,
-    started: bool,
     told: bool,
     ending: Ending,
 }
--- a/src/relay/open.rs
+++ b/src/relay/open.rs
@@ -72,7 +72,7 @@
     ) -> io::Result<()> {
         let mut frames = FramedRead::new(rd, frame::codec());
         let mut out = BytesMut::new();
-        put(
+        frame::put(
             &mut out,
             &Frame::Hello {
                 version: FRAME_VERSION,
@@ -116,7 +116,7 @@
                 () = tokio::time::sleep_until(heard + span) => match due {
                     Due::Ping => {
                         pinged = true;
-                        put(&mut out, &Frame::Ping);
+                        frame::put(&mut out, &Frame::Ping);
                     }
                     Due::Silent => return Err(io::ErrorKind::TimedOut.into()),
                     Due::Unused => return Ok(()),
@@ -132,20 +132,20 @@
                     return;
                 }
                 self.runs.insert(req.number, tx);
-                put(out, &Frame::Run(req));
+                frame::put(out, &Frame::Run(req));
             }
             Order::Read(query, tx) => {
                 self.next_read = self.next_read.wrapping_add(1);
                 let number = self.next_read;
                 self.reads.insert(number, tx);
-                put(out, &Frame::Read { number, query });
+                frame::put(out, &Frame::Read { number, query });
             }
             Order::Cancel(number) => {
                 if self.runs.remove(&number).is_some() {
-                    put(out, &Frame::Cancel(number));
+                    frame::put(out, &Frame::Cancel(number));
                 }
             }
-            Order::Tell(frame) => put(out, &frame),
+            Order::Tell(frame) => frame::put(out, &frame),
         }
     }
 
@@ -187,9 +187,3 @@
     Silent,
     Unused,
 }
-
-fn put(out: &mut BytesMut, frame: &Frame) {
-    if let Err(e) = frame::append(out, frame) {
-        log::error!("a message for another node was not encoded: {e}");
-    }
-}
--- a/src/relay/peer.rs
+++ b/src/relay/peer.rs
@@ -169,9 +169,9 @@
 async fn write(mut wr: OwnedWriteHalf, mut rx: mpsc::Receiver<Frame>) {
     let mut out = BytesMut::new();
     while let Some(frame) = rx.recv().await {
-        put(&mut out, &frame);
+        frame::put(&mut out, &frame);
         while let Ok(frame) = rx.try_recv() {
-            put(&mut out, &frame);
+            frame::put(&mut out, &frame);
         }
         if let Err(e) = wr.write_all(&out).await {
             log::debug!("answers to a node not written: {e}");
@@ -181,12 +181,6 @@
     }
 }
 
-fn put(out: &mut BytesMut, frame: &Frame) {
-    if let Err(e) = frame::append(out, frame) {
-        log::error!("a message for another node was not encoded: {e}");
-    }
-}
-
 fn lock(running: &Running) -> std::sync::MutexGuard<'_, HashMap<u32, AbortHandle>> {
     running.lock().unwrap_or_else(|p| p.into_inner())
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -14,8 +14,8 @@
 use crate::coordination::route;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::fingerprint;
 use crate::fingerprint::Fingerprint;
-use crate::fingerprint::RequestParts;
 use crate::http1::Header;
 use crate::instance::InstanceName;
 use crate::protocol::frame;
@@ -90,7 +90,7 @@
 ) -> Result<Started, NotRunKind> {
     relay.check_target(&req.target)?;
     relay.note_origin(req);
-    let fingerprint = fingerprint(req);
+    let fingerprint = fingerprint::of_content(&req.method, &req.path, &req.body);
     let asked = relay.now();
     if relay.decisions().suspects.verdict(asked, fingerprint) == Verdict::Quarantined {
         return Err(NotRunKind::Quarantined);
@@ -232,18 +232,6 @@
     headers
 }
 
-fn fingerprint(req: &RunRequest) -> Fingerprint {
-    let parts = RequestParts {
-        caller: "",
-        service: "",
-        method: &req.method,
-        path: &req.path,
-        headers: &[],
-        body: &req.body,
-    };
-    parts.fingerprint()
-}
-
 fn outcome(ended: &Ended) -> String {
     match ended {
         Ended::Answered { status, .. } => format!("answered-{status}"),
