Call the store less: long own watch, one growing pause while it fails

Each node watched its own entry in calls of 2.5 s, because a watch may go silent; three readers a node called a failing store each 0.4 s; and before the first configuration they polled.

The list, read each second at a tenth of the price, says as well that the target leaves or that its entry is gone, and has the entry read at once. While the store fails all readers of a node share one call in a pause of 0.25 to 1.5 s. The first configuration is watched for.

Test: relays/store_calls.rs; with the own watch long and no look from the list a removed entry goes unnoticed for the length of the watch.

--- a/src/protocol/reading.rs
+++ b/src/protocol/reading.rs
@@ -49,6 +49,14 @@
             _ => Duration::ZERO,
         }
     }
+
+    /// Returns the query with another longest wait, if it is one for changes.
+    pub fn waiting(mut self, longest: Duration) -> Query {
+        if let Query::RoutesAfter { wait_ms, .. } | Query::TargetAfter { wait_ms, .. } = &mut self {
+            *wait_ms = longest.as_millis() as u64;
+        }
+        self
+    }
 }
 
 /// A target as the platform lists it.
--- a/src/relay/belief.rs
+++ b/src/relay/belief.rs
@@ -71,7 +71,7 @@
         let cfg = self.cfg();
         let now = self.now();
         let shaky = self.store_state().is_shaky(STORE_SETTLES, now);
-        let (instances, own_is_new, leaves) = {
+        let (instances, own_is_new, leaves, changed) = {
             let mut view = self.write_view();
             let before = view.clone();
             let mut next = View::clone(&before);
@@ -80,11 +80,12 @@
             let leaves = next.own_leaving && !before.own_leaving;
             let changed = next.targets != before.targets || own_is_new || leaves;
             *view = Arc::new(next);
-            if !changed {
-                return;
-            }
-            (view.instances(), own_is_new, leaves)
+            (view.instances(), own_is_new, leaves, changed)
         };
+        self.look_for_own();
+        if !changed {
+            return;
+        }
         log::info!(revision = revision, targets = instances.len(); "list of targets changed");
         self.decisions().router.sync(&instances, now);
         if leaves {
@@ -95,6 +96,19 @@
         }
     }
 
+    /// Has the own entry read at once if the list says otherwise of it than what is believed.
+    fn look_for_own(&self) {
+        let view = self.view();
+        let Some(own) = view.own_name() else {
+            return;
+        };
+        let listed = view.targets.iter().any(|t| t.instance.name == *own);
+        let missing = !listed || view.missing.contains_key(own);
+        if missing != view.own_gone {
+            self.own_changed.notify_waiters();
+        }
+    }
+
     /// Takes over news about the own target. Returns false if they may be the store's own trouble,
     /// so that they must be read again.
     pub fn take_own(&self, name: &InstanceName, news: TargetNews, revision: u64) -> bool {
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -31,9 +31,6 @@
 /// node.
 const FLEET_WATCH_PERIOD: Duration = Duration::from_millis(250);
 
-/// Longest wait for a change of the own target in one call. A watch may go silent without notice.
-const OWN_WATCH: Duration = Duration::from_millis(2_500);
-
 /// Time between two looks at an entry that says nothing definite.
 const UNDECIDED_PERIOD: Duration = Duration::from_millis(300);
 
@@ -47,7 +44,17 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest pause after failed calls.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// First pause of a node after a call that the store failed; doubled up to [`LONGEST_REST`].
+const FIRST_REST: Duration = Duration::from_millis(250);
+
+/// Longest time for which a failing store is not called. A node must notice within the stable
+/// window of the platform, 3 s, that the store is back.
+const LONGEST_REST: Duration = Duration::from_millis(1_500);
+
+/// Wait for a change in a call that finds out whether the store answers again.
+const TRIAL_WAIT: Duration = Duration::from_millis(200);
 
 /// Time between two readings of the list.
 const LIST_PERIOD: Duration = Duration::from_millis(1_000);
@@ -55,9 +62,6 @@
 /// Time between two readings of the list while the own target is not in it.
 const FIRST_LIST_PERIOD: Duration = Duration::from_millis(200);
 
-/// Time for which a node that the store turned away asks other nodes first.
-const DETOUR: Duration = Duration::from_secs(2);
-
 /// Other nodes asked for one reading, at most.
 const MOST_ASKED: usize = 2;
 
@@ -79,6 +83,9 @@
     /// The answer could not be understood.
     #[error("malformed answer: {0}")]
     Malformed(String),
+    /// It failed just now and is not called yet.
+    #[error("not called again yet")]
+    Resting,
 }
 
 /// A reading on its way.
@@ -118,27 +125,48 @@
 }
 
 /// Whether the store answers this node.
+///
+/// The load that this answers is that of a whole fleet on a store that is away or turns nodes
+/// away: all readers of a node together call it once in a growing pause.
 #[derive(Debug, Default)]
 pub struct StoreState {
     failed: Option<Time>,
     recovered: Option<Time>,
+    rest: Duration,
+    next_call: Time,
 }
 
 impl StoreState {
-    /// Returns whether other nodes are asked first.
-    pub fn prefers_detour(&self, now: Time) -> bool {
-        self.failed.is_some_and(|failed| now.since(failed) < DETOUR)
+    /// Returns whether the store fails at present.
+    pub fn is_failing(&self) -> bool {
+        self.failed.is_some()
+    }
+
+    /// Returns whether the store may be called. While it fails, that is so once in each pause.
+    pub fn may_call(&mut self, now: Time) -> bool {
+        if self.failed.is_none() {
+            return true;
+        }
+        let due = now >= self.next_call;
+        if due {
+            self.next_call = now.plus(self.rest);
+        }
+        due
     }
 
-    /// Notes how a call ended. Returns whether that is news.
-    pub fn note(&mut self, worked: bool, now: Time) -> bool {
+    /// Notes how a call ended. Returns whether that is news. `luck`, uniform in 0..1, spreads the
+    /// next calls of several nodes.
+    pub fn note(&mut self, worked: bool, luck: f64, now: Time) -> bool {
         if worked {
+            self.rest = Duration::ZERO;
             let news = self.failed.take().is_some();
             if news {
                 self.recovered = Some(now);
             }
             return news;
         }
+        self.rest = (self.rest * 2).clamp(FIRST_REST, LONGEST_REST);
+        self.next_call = now.plus(self.rest.mul_f64(0.5 + luck / 2.0));
         self.failed.replace(now).is_none()
     }
 
@@ -170,14 +198,17 @@
 
 /// Reads the store, or asks another node to, if the store does not answer this one.
 async fn read(relay: &Arc<Relay>, query: Query) -> Result<Reading, StoreError> {
-    let detour = relay.store_state().prefers_detour(relay.now());
-    if detour && let Some(reading) = ask_others(relay, &query).await {
-        return Ok(reading);
-    }
-    let result = relay.read_store(query.clone()).await;
+    let (failing, may_call) = {
+        let mut state = relay.store_state();
+        (state.is_failing(), state.may_call(relay.now()))
+    };
+    let result = match (may_call, failing) {
+        (false, _) => Err(StoreError::Resting),
+        (true, false) => relay.read_store(query.clone()).await,
+        (true, true) => relay.read_store(query.clone().waiting(TRIAL_WAIT)).await,
+    };
     match result {
         Ok(_) | Err(StoreError::Compacted) => result,
-        Err(e) if detour => Err(e),
         Err(e) => ask_others(relay, &query).await.ok_or(e),
     }
 }
@@ -218,7 +249,7 @@
                 if let Content::Routes(Some(table)) = reading.content {
                     relay.take_routes(table.indexed(), reading.revision);
                 }
-                if relay.has_routes() && reading.revision != NOT_READ {
+                if reading.revision != NOT_READ {
                     pause = Pause::new();
                 } else {
                     revision = None;
@@ -245,6 +276,11 @@
     longest.mul_f64(relay.decisions().rng.random_range(0.5..=1.0))
 }
 
+/// Returns the wait of the next call for changes of the own entry.
+fn own_watch(relay: &Relay) -> Duration {
+    LONGEST_WATCH.mul_f64(relay.decisions().rng.random_range(0.5..=1.0))
+}
+
 /// Waits until another node has had a newer configuration for a while.
 async fn hearsay(relay: &Relay) {
     loop {
@@ -282,7 +318,8 @@
 }
 
 /// Watches the entry of the own target, because this node alone must know in time that it leaves.
-/// A hint that it may be leaving makes it look at once.
+/// The watch may go silent without notice. So the list, read each second, counts too, and a hint
+/// that the target may be leaving makes this node look at once.
 pub async fn follow_own(relay: Arc<Relay>) {
     let mut pause = Pause::new();
     let mut followed: Option<(InstanceName, u64)> = None;
@@ -297,7 +334,7 @@
             Some((known, revision)) if *known == name => Query::TargetAfter {
                 name: name.clone(),
                 revision: *revision,
-                wait_ms: OWN_WATCH.as_millis() as u64,
+                wait_ms: own_watch(&relay).as_millis() as u64,
             },
             _ => Query::Target(name.clone()),
         };
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 
 use rand::Rng;
+use rand::RngExt;
 
 use crate::protocol::reading::Query;
 use crate::protocol::reading::Reading;
@@ -37,7 +38,8 @@
         );
         self.figures.store_call(result.is_ok());
         let worked = matches!(result, Ok(_) | Err(StoreError::Compacted));
-        let news = self.store_state().note(worked, self.now());
+        let luck = self.decisions().rng.random_range(0.0..1.0);
+        let news = self.store_state().note(worked, luck, self.now());
         match &result {
             Ok(_) if news => log::info!("store answers again"),
             Err(e) if news => log::warn!(error:% = e; "store does not answer"),
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -5,6 +5,9 @@
     pub(crate) mod relay_fleet;
 }
 
+#[path = "relays/store_calls.rs"]
+mod store_calls;
+
 use std::time::Duration;
 
 use dragonflylead::clock::Time;
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -1,5 +1,6 @@
 //! Nodes of the plain HTTP/1.1 request path on loopback, with a store that a test can change.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -55,6 +56,8 @@
     table: Option<RouteTable>,
     targets: Vec<Listed>,
     turned_away: Vec<String>,
+    silent_watches: bool,
+    calls: HashMap<String, u32>,
 }
 
 /// A store in memory. Clones share it.
@@ -84,6 +87,17 @@
         self.0.lock().unwrap().turned_away.push(node.to_owned());
     }
 
+    /// Has watches say nothing from now on.
+    pub(crate) fn silence_watches(&self) {
+        self.0.lock().unwrap().silent_watches = true;
+    }
+
+    /// Returns how often a node has called.
+    pub(crate) fn calls(&self, node: &str) -> u32 {
+        let state = self.0.lock().unwrap();
+        state.calls.get(node).copied().unwrap_or_default()
+    }
+
     /// Serves every node again.
     pub(crate) fn serve_all(&self) {
         self.0.lock().unwrap().turned_away.clear();
@@ -101,6 +115,13 @@
 
     async fn read(&self, node: &str, query: Query) -> Result<Reading, StoreError> {
         let until = tokio::time::Instant::now() + query.wait();
+        *self
+            .0
+            .lock()
+            .unwrap()
+            .calls
+            .entry(node.to_owned())
+            .or_default() += 1;
         loop {
             if let Some(result) = self.look(node, &query) {
                 return result;
@@ -126,6 +147,9 @@
         if state.turned_away.iter().any(|away| away == node) {
             return Some(Err(StoreError::Refused(503)));
         }
+        if state.silent_watches && !query.wait().is_zero() {
+            return None;
+        }
         let listed = |name: &InstanceName| {
             let found = state.targets.iter().find(|t| t.instance.name == *name);
             found.map_or(TargetNews::Gone, |t| {
