Drop idle connections to a target that may have gone silent; answers travel without header names

Cause: connections may go silent for good without a reset. A silent connection to the target costs the request that uses it its whole time, and each idle one behind it does the same.

Change: a request that is given up without a byte after 0.7 s or more has the connections dropped that were idle since before it; connections to the target are probed like all others.

Tests: silent_connections_to_the_target_cost_one_request_at_most (504 instead of 200 for the second request with the drop taken out), a_reply_takes_few_bytes_beyond_its_body.

--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -15,7 +15,7 @@
 use crate::protocol::reading::Reading;
 
 /// Version of the messages. Nodes of different versions do not talk to each other.
-pub const FRAME_VERSION: u16 = 1;
+pub const FRAME_VERSION: u16 = 2;
 
 /// Longest message, in bytes.
 const MAX_FRAME: usize = 80 * 1024 * 1024;
@@ -105,7 +105,9 @@
     Answered {
         /// Status code.
         status: u16,
-        /// Headers to hand on.
+        /// Proof that the answer is the target's own, whose header is named at the other end.
+        signature: Option<String>,
+        /// Headers to hand on, without the request id and the signature.
         headers: Vec<WireHeader>,
         /// Body.
         #[serde(with = "serde_bytes")]
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -199,9 +199,13 @@
             match reply.ended {
                 Ended::Answered {
                     status,
+                    signature,
                     headers,
                     body,
-                } => return Ok(self.pass_on(status, frame::from_wire(headers), body)),
+                } => {
+                    let headers = self.answer_headers(signature, frame::from_wire(headers));
+                    return Ok(self.pass_on(status, headers, body));
+                }
                 Ended::NotRun { kind, reached } => {
                     sends += u32::from(reached);
                     if !matches!(last, ErrorKind::Unknown(_)) {
@@ -328,6 +332,17 @@
         }
     }
 
+    /// Adds the headers of an answer that do not travel between nodes by name.
+    fn answer_headers(&self, signature: Option<String>, rest: Vec<Header>) -> Vec<Header> {
+        let dialect = self.relay.dialect();
+        let id = (dialect.request_id, Some(self.id.to_owned()));
+        let own = [id, (dialect.signature, signature)];
+        let own = own
+            .into_iter()
+            .filter_map(|(name, value)| Some((name.to_owned(), value?.into_bytes())));
+        own.chain(rest).collect()
+    }
+
     fn pass_on(&self, status: u16, headers: Vec<Header>, body: Vec<u8>) -> Answer {
         log::info!(
             request:% = self.id, route:% = self.route.name, status = status,
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -38,4 +38,11 @@
         let own = [self.not_run, self.instance, self.load];
         own.iter().any(|own| own.eq_ignore_ascii_case(name))
     }
+
+    /// Returns whether this header of an answer is put on it by the node that read the request,
+    /// so that its name need not travel between nodes.
+    pub fn is_named_by_caller_node(&self, name: &str) -> bool {
+        let own = [self.request_id, self.signature];
+        own.iter().any(|own| own.eq_ignore_ascii_case(name))
+    }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -17,6 +17,7 @@
 use crate::fingerprint;
 use crate::fingerprint::Fingerprint;
 use crate::http1::Header;
+use crate::http1::head;
 use crate::instance::InstanceName;
 use crate::protocol::frame;
 use crate::protocol::frame::Ended;
@@ -207,13 +208,15 @@
         return Ended::Unknown(UnknownKind::AnswerTruncated);
     }
     let dialect = relay.dialect();
+    let signature = head::find(&answer.headers, dialect.signature).map(str::to_owned);
     let kept: Vec<Header> = answer
         .headers
         .into_iter()
-        .filter(|(name, _)| !dialect.is_for_node(name))
+        .filter(|(name, _)| !dialect.is_for_node(name) && !dialect.is_named_by_caller_node(name))
         .collect();
     Ended::Answered {
         status: answer.status,
+        signature,
         headers: frame::to_wire(&kept),
         body: answer.body,
     }
--- a/src/relay/target.rs
+++ b/src/relay/target.rs
@@ -22,6 +22,7 @@
 use crate::http1::head::MessageError;
 use crate::http1::write;
 use crate::relay::dialect::Dialect;
+use crate::relay::socket;
 
 /// Longest head of an answer, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
@@ -47,6 +48,9 @@
 /// Longest wait for a connection to the target, which is on the same machine.
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 
+/// Time without an answer after which a connection that is given up may have been silent.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+
 /// A request as it is sent to the target.
 #[derive(Clone, Debug)]
 pub struct Exchange {
@@ -131,7 +135,13 @@
             Ok(stream) => stream,
             Err(e) => return ExchangeEnd::Unsent(e),
         };
+        let mut unanswered = Unanswered {
+            client: self,
+            asked: Instant::now(),
+            armed: true,
+        };
         let (sent, read) = self.talk(&mut stream, exchange).await;
+        unanswered.armed = false;
         let read = match read {
             Ok(read) => read,
             Err(lost) => return lost,
@@ -189,7 +199,7 @@
             Ok(stream) => stream?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
-        stream.set_nodelay(true)?;
+        socket::watch(&stream)?;
         Ok(stream)
     }
 
@@ -256,6 +266,23 @@
     }
 }
 
+/// A request without an answer. If it is given up after a while, the connections that have been
+/// idle since before are dropped: they may all have gone silent. Those used since have proved that
+/// they work.
+struct Unanswered<'a> {
+    client: &'a TargetClient,
+    asked: Instant,
+    armed: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.armed && self.asked.elapsed() >= SILENT_AFTER {
+            self.client.lock().retain(|idle| idle.since > self.asked);
+        }
+    }
+}
+
 struct Read {
     answer: TargetAnswer,
     reusable: bool,
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -11,6 +11,9 @@
 /// Most bytes of a message beyond the body, on the way to the target.
 const MAX_REQUEST: usize = 120;
 
+/// Most bytes of a message beyond the body, on the way back.
+const MAX_REPLY: usize = 80;
+
 fn run() -> Frame {
     Frame::Run(Box::new(RunRequest {
         number: 70_000,
@@ -72,3 +75,25 @@
         assert!(frame::decode(bytes).is_err(), "{bytes:?}");
     }
 }
+
+#[test]
+fn a_reply_takes_few_bytes_beyond_its_body() {
+    let reply = Frame::Reply {
+        number: 70_000,
+        ended: Ended::Answered {
+            status: 200,
+            signature: Some("3e1b.07.5a2.600.0.c9f2a4d1".to_owned()),
+            headers: Vec::new(),
+            body: Vec::new(),
+        },
+        load: LoadReport {
+            percent: 93,
+            gate: 255,
+            cost_ms: 48,
+            root: true,
+            version: 12,
+        },
+    };
+    let len = frame::encode(&reply).unwrap().len();
+    assert!(len <= MAX_REPLY, "{len} bytes");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -463,3 +463,25 @@
         .await;
     assert!(!relay.view().own_leaving);
 }
+
+#[tokio::test]
+async fn silent_connections_to_the_target_cost_one_request_at_most() {
+    let fleet = RelayFleet::start(35, &["a"]).await;
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    for id in ["one", "two", "three"] {
+        caller.send(&request("GET", "/a/wait-50/x", id, b"")).await;
+    }
+    for _ in 0..3 {
+        assert_eq!(caller.answer().await.unwrap().status, 200);
+    }
+    fleet.members[0].target.silence_open();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // The other connections are still fresh enough to be used when this one is given up.
+    let lost = request("GET", "/a/x", "lost", b"");
+    let lost = String::from_utf8(lost).unwrap().replace("5000", "1200");
+    caller.send(lost.as_bytes()).await;
+    let lost = caller.answer().await.unwrap();
+    assert_eq!(lost.status, 504, "its connection is silent");
+    let next = caller.ask("GET", "/a/x", "next", b"").await;
+    assert_eq!(next.status, 200, "the other idle connections are not used");
+}
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Buf;
 use bytes::BytesMut;
@@ -43,6 +44,7 @@
 pub(crate) struct PlainTarget {
     pub(crate) address: SocketAddr,
     runs: Arc<Mutex<Vec<Run>>>,
+    silent: Arc<Mutex<Option<Instant>>>,
     task: JoinHandle<()>,
 }
 
@@ -53,21 +55,40 @@
         let address = listener.local_addr().unwrap();
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let seen = runs.clone();
+        let silent: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let since = silent.clone();
         let name = name.to_owned();
         let task = tokio::spawn(async move {
             let mut served = tokio::task::JoinSet::new();
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                served.spawn(serve(stream, name.clone(), seen.clone()));
+                let (name, seen, since) = (name.clone(), seen.clone(), since.clone());
+                let opened = Instant::now();
+                served.spawn(async move {
+                    let serving = serve(stream, name, seen);
+                    tokio::pin!(serving);
+                    tokio::select! {
+                        () = &mut serving => return,
+                        () = turned_silent(opened, &since) => (),
+                    }
+                    // The connection stays open with `serving`, which nobody polls any more.
+                    std::future::pending::<()>().await;
+                });
             }
         });
         PlainTarget {
             address,
             runs,
+            silent,
             task,
         }
     }
 
+    /// Makes the open connections silent for good; new ones work.
+    pub(crate) fn silence_open(&self) {
+        *self.silent.lock().unwrap() = Some(Instant::now());
+    }
+
     /// Ends the target: its port refuses and its connections are cut.
     pub(crate) fn crash(&self) {
         self.task.abort();
@@ -93,6 +114,13 @@
     }
 }
 
+/// Waits until connections opened at `opened` are to be silent.
+async fn turned_silent(opened: Instant, since: &Mutex<Option<Instant>>) {
+    while since.lock().unwrap().is_none_or(|at| opened > at) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 async fn serve(mut stream: TcpStream, name: String, runs: Arc<Mutex<Vec<Run>>>) {
     let mut buf = BytesMut::new();
     while let Some((head, body)) = read(&mut stream, &mut buf).await {
