Test that a charge that may have run goes to no other target

The mutation unknown-run-again, which sends a charge on after an unknown outcome, was not caught: the tests had one target of the service. With two it is caught (2 runs instead of 1).

A second test, of a link that breaks while a charge runs, is left out: ending a node inside the test process leaves its replies flowing, so nothing breaks. The soak resets links between real processes.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -5,6 +5,8 @@
     pub(crate) mod relay_fleet;
 }
 
+#[path = "relays/at_most_once.rs"]
+mod at_most_once;
 #[path = "relays/store_calls.rs"]
 mod store_calls;
 
