Read anew when a watch of the store breaks

Each node handed its broken watch to another node, whose new watch heard nothing for 3 s, so that the nodes of one region kept the old version for 4 s. Nodes of the other region knew it after 1.4 s, but tell only those that they are connected to.

Change: a watch that breaks is not handed on; the node reads the configuration, or its own entry, anew. A node that is turned away for longer has others watch for it as before. The log called a dropped history "store does not answer" though the store had answered.

Test: a_configuration_is_in_force_although_the_watches_are_cut_and_silent, red with the condition taken out.

--- a/src/protocol/reading.rs
+++ b/src/protocol/reading.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Returns whether this is a query for changes.
+    pub fn is_watch(&self) -> bool {
+        matches!(self, Query::RoutesAfter { .. } | Query::TargetAfter { .. })
+    }
+
     /// Returns the query with another longest wait, if it is one for changes.
     pub fn waiting(mut self, longest: Duration) -> Query {
         if let Query::RoutesAfter { wait_ms, .. } | Query::TargetAfter { wait_ms, .. } = &mut self {
--- a/src/relay/feed.rs
+++ b/src/relay/feed.rs
@@ -197,6 +197,9 @@
 }
 
 /// Reads the store, or asks another node to, if the store does not answer this one.
+///
+/// A watch that breaks may have missed a change, and one that follows it may be silent too. So it is
+/// not handed to another node: the caller is told, and reads anew.
 async fn read(relay: &Arc<Relay>, query: Query) -> Result<Reading, StoreError> {
     let (failing, may_call) = {
         let mut state = relay.store_state();
@@ -209,6 +212,7 @@
     };
     match result {
         Ok(_) | Err(StoreError::Compacted) => result,
+        Err(e) if !failing && may_call && query.is_watch() => Err(e),
         Err(e) => ask_others(relay, &query).await.ok_or(e),
     }
 }
@@ -257,9 +261,7 @@
                 }
             }
             Err(e) => {
-                if e == StoreError::Compacted {
-                    revision = None;
-                }
+                revision = None;
                 log::info!(dependency = "store", what = "configuration", error:% = e; "not read");
                 pause.wait().await;
             }
@@ -358,9 +360,7 @@
                 }
             }
             Err(e) => {
-                if e == StoreError::Compacted {
-                    followed = None;
-                }
+                followed = None;
                 log::info!(dependency = "store", what = "own entry", error:% = e; "not read");
                 pause.wait().await;
             }
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -41,7 +41,7 @@
         let luck = self.decisions().rng.random_range(0.0..1.0);
         let news = self.store_state().note(worked, luck, self.now());
         match &result {
-            Ok(_) if news => log::info!("store answers again"),
+            Ok(_) | Err(StoreError::Compacted) if news => log::info!("store answers again"),
             Err(e) if news => log::warn!(error:% = e; "store does not answer"),
             _ => (),
         }
--- a/tests/relays/store_calls.rs
+++ b/tests/relays/store_calls.rs
@@ -11,10 +11,14 @@
 use tokio::time::timeout;
 
 use crate::support::relay_fleet::RelayFleet;
+use crate::support::relay_fleet::table;
 
 /// Time within which a node has to know that its target leaves.
 const DRAIN: Duration = Duration::from_millis(2_000);
 
+/// Time within which a configuration has to be in force.
+const APPLY: Duration = Duration::from_millis(2_000);
+
 /// A way in which a target leaves.
 struct Leaving {
     name: &'static str,
@@ -53,6 +57,24 @@
     }
 }
 
+/// The store breaks its watches while a change is made, and those that follow hear nothing.
+#[tokio::test]
+async fn a_configuration_is_in_force_although_the_watches_are_cut_and_silent() {
+    let fleet = RelayFleet::start(36, &["a", "b"]).await;
+    fleet.store.silence_watches();
+    fleet.store.publish(table(2, &["a", "b"]));
+    fleet.store.cut_watches();
+    let in_force = async {
+        for member in &fleet.members {
+            while member.node.relay().version() < 2 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    };
+    let in_force = timeout(APPLY, in_force).await;
+    assert!(in_force.is_ok(), "the new configuration is not in force");
+}
+
 #[tokio::test]
 async fn a_calm_store_is_called_rarely() {
     let fleet = RelayFleet::start(33, &["a", "b"]).await;
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -57,6 +57,7 @@
     targets: Vec<Listed>,
     turned_away: Vec<String>,
     silent_watches: bool,
+    cuts: u32,
     calls: HashMap<String, u32>,
 }
 
@@ -92,6 +93,11 @@
         self.0.lock().unwrap().silent_watches = true;
     }
 
+    /// Breaks the watches that wait.
+    pub(crate) fn cut_watches(&self) {
+        self.0.lock().unwrap().cuts += 1;
+    }
+
     /// Returns how often a node has called.
     pub(crate) fn calls(&self, node: &str) -> u32 {
         let state = self.0.lock().unwrap();
@@ -115,14 +121,15 @@
 
     async fn read(&self, node: &str, query: Query) -> Result<Reading, StoreError> {
         let until = tokio::time::Instant::now() + query.wait();
-        *self
-            .0
-            .lock()
-            .unwrap()
-            .calls
-            .entry(node.to_owned())
-            .or_default() += 1;
+        let cuts = {
+            let mut state = self.0.lock().unwrap();
+            *state.calls.entry(node.to_owned()).or_default() += 1;
+            state.cuts
+        };
         loop {
+            if self.0.lock().unwrap().cuts != cuts {
+                return Err(StoreError::Unreachable("cut".to_owned()));
+            }
             if let Some(result) = self.look(node, &query) {
                 return result;
             }
