Test support: draw the ports of a node so that all differ

an_answer_is_due_at_the_time_of_the_route failed once at the start of its node. They are now held until all are drawn.

--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -303,17 +303,18 @@
 
 fn config(ip: &str, service: &str, peer_port: u16, target: SocketAddr) -> RelayConfig {
     let address = |port: u16| SocketAddr::new(ip.parse().unwrap(), port);
+    let [outbound, ready, metrics] = free_ports(ip, peer_port);
     RelayConfig {
         name: InstanceName::new(&format!("node-{ip}")),
         service: ServiceName::new(service),
         domain: DomainName::new("a"),
         region: RegionName::new("r"),
         target,
-        outbound: address(free_port(ip)),
+        outbound: address(outbound),
         peers: address(peer_port),
-        ready: address(free_port(ip)),
+        ready: address(ready),
         ready_path: "/ready".to_owned(),
-        metrics: address(free_port(ip)),
+        metrics: address(metrics),
         grace: Duration::from_secs(6),
         retry_share: 1.0,
         retry_window: Duration::from_secs(10),
@@ -339,6 +340,21 @@
     }
 }
 
+/// Returns ports that are free on `ip`, all different and none of them `taken`. They are held until
+/// all are drawn: one that was given back could be drawn again.
+fn free_ports(ip: &str, taken: u16) -> [u16; 3] {
+    let mut held = Vec::new();
+    let mut port = || loop {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let port = listener.local_addr().unwrap().port();
+        held.push(listener);
+        if port != taken {
+            return port;
+        }
+    };
+    [port(), port(), port()]
+}
+
 fn free_port(ip: &str) -> u16 {
     let listener = TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap().port()
