--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -16,6 +16,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::core::Collector;
 use strum::Display;
 use strum::IntoEnumIterator;
 
@@ -169,14 +170,7 @@
     pub fn text(&self, status: &Status) -> String {
         let _reading = self.reading.lock().unwrap_or_else(|e| e.into_inner());
         self.show(status);
-        let mut text = String::new();
-        match TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
-            Ok(()) => text,
-            Err(e) => {
-                log::error!("metrics: {e}");
-                String::new()
-            }
-        }
+        text_of(&self.registry)
     }
 
     fn show(&self, status: &Status) {
@@ -251,23 +245,46 @@
     }
 }
 
-fn counter(registry: &Registry, metric: Metric) -> IntCounterVec {
-    let d = metric.description();
-    let counter = IntCounterVec::new(Opts::new(d.name, d.help), d.labels).expect("a valid name");
+/// Registers a metric that was just built, and returns it.
+///
+/// # Panics
+///
+/// If its name is no valid one, or is registered already; both are mistakes in this program.
+pub(crate) fn registered<C>(registry: &Registry, built: prometheus::Result<C>) -> C
+where
+    C: Collector + Clone + 'static,
+{
+    let metric = built.expect("a valid name");
     registry
-        .register(Box::new(counter.clone()))
+        .register(Box::new(metric.clone()))
         .expect("each name is registered once");
-    counter
+    metric
+}
+
+/// Returns the Prometheus text of everything that is registered.
+pub(crate) fn text_of(registry: &Registry) -> String {
+    let mut text = String::new();
+    match TextEncoder::new().encode_utf8(&registry.gather(), &mut text) {
+        Ok(()) => text,
+        Err(e) => {
+            log::error!("metrics: {e}");
+            String::new()
+        }
+    }
+}
+
+fn counter(registry: &Registry, metric: Metric) -> IntCounterVec {
+    let d = metric.description();
+    registered(
+        registry,
+        IntCounterVec::new(Opts::new(d.name, d.help), d.labels),
+    )
 }
 
 fn histogram(registry: &Registry, metric: Metric) -> HistogramVec {
     let d = metric.description();
     let opts = HistogramOpts::new(d.name, d.help).buckets(DURATION_BUCKETS_S.to_vec());
-    let histogram = HistogramVec::new(opts, d.labels).expect("a valid name");
-    registry
-        .register(Box::new(histogram.clone()))
-        .expect("each name is registered once");
-    histogram
+    registered(registry, HistogramVec::new(opts, d.labels))
 }
 
 fn gauges(registry: &Registry) -> Vec<(Metric, IntGaugeVec)> {
@@ -275,12 +292,8 @@
         .filter(|metric| metric.description().kind == MetricKind::Gauge)
         .map(|metric| {
             let d = metric.description();
-            let opts = Opts::new(d.name, d.help);
-            let gauge = IntGaugeVec::new(opts, d.labels).expect("a valid name");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("each name is registered once");
-            (metric, gauge)
+            let gauge = IntGaugeVec::new(Opts::new(d.name, d.help), d.labels);
+            (metric, registered(registry, gauge))
         })
         .collect()
 }
--- a/src/relay/figures.rs
+++ b/src/relay/figures.rs
@@ -10,10 +10,10 @@
 use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::metrics;
 use crate::protocol::frame::Ended;
 use crate::relay::Relay;
 
@@ -164,14 +164,7 @@
         for (what, value) in state {
             self.state.with_label_values(&[what]).set(value);
         }
-        let mut text = String::new();
-        match TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
-            Ok(()) => text,
-            Err(e) => {
-                log::error!("metrics: {e}");
-                String::new()
-            }
-        }
+        metrics::text_of(&self.registry)
     }
 }
 
@@ -190,47 +183,22 @@
 }
 
 fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let counter = IntCounterVec::new(opts(name, help), labels).expect("a valid name");
-    let copy = Box::new(counter.clone());
-    registry
-        .register(copy)
-        .expect("each name is registered once");
-    counter
+    metrics::registered(registry, IntCounterVec::new(opts(name, help), labels))
 }
 
 fn single(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    let counter = IntCounter::with_opts(opts(name, help)).expect("a valid name");
-    let copy = Box::new(counter.clone());
-    registry
-        .register(copy)
-        .expect("each name is registered once");
-    counter
+    metrics::registered(registry, IntCounter::with_opts(opts(name, help)))
 }
 
 fn level(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::with_opts(opts(name, help)).expect("a valid name");
-    let copy = Box::new(gauge.clone());
-    registry
-        .register(copy)
-        .expect("each name is registered once");
-    gauge
+    metrics::registered(registry, IntGauge::with_opts(opts(name, help)))
 }
 
 fn times(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let opts = HistogramOpts::from(opts(name, help)).buckets(BUCKETS_S.to_vec());
-    let histogram = HistogramVec::new(opts, labels).expect("a valid name");
-    let copy = Box::new(histogram.clone());
-    registry
-        .register(copy)
-        .expect("each name is registered once");
-    histogram
+    metrics::registered(registry, HistogramVec::new(opts, labels))
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
-    let gauge = IntGaugeVec::new(opts(name, help), labels).expect("a valid name");
-    let copy = Box::new(gauge.clone());
-    registry
-        .register(copy)
-        .expect("each name is registered once");
-    gauge
+    metrics::registered(registry, IntGaugeVec::new(opts(name, help), labels))
 }
