Split tests/relay.rs: callers, targets and nodes that leave; what a node believes of the fleet

Nine are moved, with all their assertions; two that began alike share the caller that leaves while its request runs.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,22 +7,19 @@
 
 #[path = "relays/at_most_once.rs"]
 mod at_most_once;
+#[path = "relays/leaving.rs"]
+mod leaving;
 #[path = "relays/store_calls.rs"]
 mod store_calls;
+#[path = "relays/view.rs"]
+mod view;
 
 use std::time::Duration;
 
-use dragonflylead::clock::Time;
-use dragonflylead::instance::InstanceState;
-use dragonflylead::relay::Phase;
-use tokio::io::AsyncReadExt;
-
-use support::relay_fleet::Caller;
-use support::relay_fleet::DIALECT;
-use support::relay_fleet::PATIENCE;
-use support::relay_fleet::RelayFleet;
-use support::relay_fleet::request;
-use support::relay_fleet::table;
+use crate::support::relay_fleet::Caller;
+use crate::support::relay_fleet::DIALECT;
+use crate::support::relay_fleet::RelayFleet;
+use crate::support::relay_fleet::request;
 
 #[tokio::test]
 async fn a_request_runs_at_a_target_of_its_service_unchanged() {
@@ -199,111 +196,6 @@
     assert_eq!(fleet.count("2"), 1);
 }
 
-#[tokio::test]
-async fn a_caller_that_leaves_ends_the_run_at_another_node() {
-    let fleet = RelayFleet::start(6, &["a", "b"]).await;
-    let mut caller = Caller::connect(fleet.members[0].outbound).await;
-    caller
-        .send(&request("GET", "/b/wait-10000/", "1", b""))
-        .await;
-    fleet.until(|fleet| fleet.count("1") == 1).await;
-    drop(caller);
-    fleet
-        .until(|fleet| {
-            fleet.members[1]
-                .target
-                .runs()
-                .iter()
-                .all(|run| run.abandoned)
-        })
-        .await;
-}
-
-#[tokio::test]
-async fn a_run_that_must_not_be_repeated_goes_on_without_its_caller() {
-    let fleet = RelayFleet::start(7, &["a", "b"]).await;
-    let mut caller = Caller::connect(fleet.members[0].outbound).await;
-    caller
-        .send(&request("POST", "/b-once/wait-300/", "1", b""))
-        .await;
-    fleet.until(|fleet| fleet.count("1") == 1).await;
-    drop(caller);
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    assert!(
-        fleet.members[1]
-            .target
-            .runs()
-            .iter()
-            .all(|run| !run.abandoned)
-    );
-}
-
-#[tokio::test]
-async fn a_leaving_target_gets_nothing_more_also_from_senders_with_an_old_list() {
-    let fleet = RelayFleet::start(8, &["a", "b"]).await;
-    let mut caller = Caller::connect(fleet.members[0].outbound).await;
-    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
-    // Only the node beside the target hears of it.
-    fleet
-        .store
-        .turn_away(fleet.members[0].node.relay().cfg().name.as_str());
-    fleet
-        .store
-        .change(|targets| targets[1].instance.state = InstanceState::Leaving);
-    fleet
-        .until(|fleet| fleet.members[1].node.relay().view().own_leaving)
-        .await;
-    let answer = caller.ask("GET", "/b/", "2", b"").await;
-    assert_eq!(answer.status, 503);
-    assert_eq!(fleet.count("2"), 0);
-    // A list from before does not bring it back.
-    fleet
-        .store
-        .change(|targets| targets[1].instance.state = InstanceState::Live);
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
-    assert!(fleet.members[1].node.relay().view().own_leaving);
-}
-
-#[tokio::test]
-async fn a_node_that_the_store_turns_away_learns_from_others() {
-    let fleet = RelayFleet::start(9, &["a", "b"]).await;
-    let away = fleet.members[1].node.relay().cfg().name.clone();
-    fleet.store.turn_away(away.as_str());
-    fleet.store.publish(table(5, &["a", "b", "c"]));
-    fleet
-        .until(|fleet| fleet.members[1].node.relay().version() == 5)
-        .await;
-    fleet
-        .store
-        .change(|targets| targets[1].instance.state = InstanceState::Leaving);
-    fleet
-        .until(|fleet| fleet.members[1].node.relay().view().own_leaving)
-        .await;
-    fleet.store.serve_all();
-}
-
-#[tokio::test]
-async fn an_older_configuration_never_comes_back() {
-    let fleet = RelayFleet::start(10, &["a"]).await;
-    fleet.store.publish(table(7, &["a"]));
-    fleet
-        .until(|fleet| fleet.members[0].node.relay().version() == 7)
-        .await;
-    fleet.store.publish(table(6, &["b"]));
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let relay = fleet.members[0].node.relay();
-    assert_eq!(relay.version(), 7);
-    assert!(
-        relay
-            .view()
-            .routes
-            .as_ref()
-            .unwrap()
-            .find("h.example", "/b/")
-            .is_none()
-    );
-}
-
 #[tokio::test]
 async fn an_answer_is_due_at_the_time_of_the_route() {
     let fleet = RelayFleet::start(11, &["a"]).await;
@@ -316,35 +208,6 @@
     assert!(took < Duration::from_millis(4_500), "{took:?}");
 }
 
-#[tokio::test]
-async fn a_stopping_node_answers_what_it_read_and_closes_idle_connections() {
-    let fleet = RelayFleet::start(12, &["a", "b"]).await;
-    let mut busy = Caller::connect(fleet.members[0].outbound).await;
-    let mut idle = Caller::connect(fleet.members[0].outbound).await;
-    assert_eq!(idle.ask("GET", "/b/", "1", b"").await.status, 200);
-    let pipelined = [
-        request("GET", "/b/wait-600/", "2", b""),
-        request("GET", "/b/wait-100/", "3", b""),
-    ];
-    busy.send(&pipelined.concat()).await;
-    fleet.until(|fleet| fleet.count("3") == 1).await;
-    fleet.members[0].node.relay().enter(Phase::Leaving);
-    assert!(!fleet.members[0].node.relay().is_ready());
-    let first = busy.answer().await.unwrap();
-    assert_eq!((first.status, first.header("Connection")), (200, None));
-    let last = busy.answer().await.unwrap();
-    assert_eq!(
-        (last.status, last.header("Connection")),
-        (200, Some("close"))
-    );
-    let mut rest = [0; 1];
-    assert_eq!(
-        idle.stream.read(&mut rest).await.unwrap(),
-        0,
-        "closed in order"
-    );
-}
-
 #[tokio::test]
 async fn malformed_requests_are_answered_once_and_reach_no_target() {
     let fleet = RelayFleet::start(13, &["a"]).await;
@@ -397,75 +260,6 @@
     );
 }
 
-#[tokio::test]
-async fn a_stopping_node_does_not_make_its_target_count_as_leaving() {
-    let mut fleet = RelayFleet::start(15, &["a", "b"]).await;
-    let mut caller = Caller::connect(fleet.members[0].outbound).await;
-    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
-    fleet.members[1].node.relay().enter(Phase::Leaving);
-    assert_eq!(caller.ask("GET", "/b/", "2", b"").await.status, 503);
-    assert_eq!(fleet.count("2"), 0);
-    fleet.restart(1).await;
-    let mut last = 0;
-    for at in 3..60 {
-        last = caller.ask("GET", "/b/", &at.to_string(), b"").await.status;
-        if last == 200 {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    assert_eq!(last, 200, "its target serves again within 3 s");
-}
-
-#[tokio::test]
-async fn a_node_that_starts_while_the_store_is_down_learns_from_nodes_that_greet_it() {
-    let mut fleet = RelayFleet::start(16, &["a", "b"]).await;
-    let mut caller = Caller::connect(fleet.members[0].outbound).await;
-    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
-    for member in &fleet.members {
-        fleet
-            .store
-            .turn_away(member.node.relay().cfg().name.as_str());
-    }
-    fleet.restart(1).await;
-    fleet
-        .until(|fleet| fleet.members[1].node.relay().is_ready())
-        .await;
-    assert_eq!(fleet.members[1].node.relay().version(), 1);
-    assert!(fleet.members[1].node.relay().own_target().is_some());
-}
-
-#[tokio::test]
-async fn a_missing_entry_means_nothing_while_the_store_settles() {
-    let fleet = RelayFleet::start(17, &["a"]).await;
-    let relay = fleet.members[0].node.relay();
-    fleet.store.turn_away(relay.cfg().name.as_str());
-    fleet
-        .until(|fleet| {
-            fleet.members[0]
-                .node
-                .relay()
-                .store_state()
-                .is_shaky(PATIENCE, Time::ZERO)
-        })
-        .await;
-    let mut entries = Vec::new();
-    fleet
-        .store
-        .change(|targets| entries = std::mem::take(targets));
-    fleet.store.serve_all();
-    tokio::time::sleep(Duration::from_millis(1_000)).await;
-    assert!(!relay.view().own_gone, "the store came back only just now");
-    fleet
-        .until(|fleet| fleet.members[0].node.relay().view().own_gone)
-        .await;
-    fleet.store.change(|targets| *targets = entries);
-    fleet
-        .until(|fleet| !fleet.members[0].node.relay().view().own_gone)
-        .await;
-    assert!(!relay.view().own_leaving);
-}
-
 #[tokio::test]
 async fn silent_connections_to_the_target_cost_one_request_at_most() {
     let fleet = RelayFleet::start(35, &["a"]).await;
--- /dev/null
+++ b/tests/relays/leaving.rs
@@ -0,0 +1,122 @@
+//! Callers that leave, targets that leave and nodes that stop.
+
+use std::time::Duration;
+
+use dragonflylead::instance::InstanceState;
+use dragonflylead::relay::Phase;
+use tokio::io::AsyncReadExt;
+
+use crate::support::relay_fleet::Caller;
+use crate::support::relay_fleet::RelayFleet;
+use crate::support::relay_fleet::request;
+
+/// Sends a request from a caller that leaves once the request runs. Its id is `1`.
+async fn leave_while_running(fleet: &RelayFleet, method: &str, path: &str) {
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    caller.send(&request(method, path, "1", b"")).await;
+    fleet.until(|fleet| fleet.count("1") == 1).await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_run_at_another_node() {
+    let fleet = RelayFleet::start(6, &["a", "b"]).await;
+    leave_while_running(&fleet, "GET", "/b/wait-10000/").await;
+    fleet
+        .until(|fleet| {
+            fleet.members[1]
+                .target
+                .runs()
+                .iter()
+                .all(|run| run.abandoned)
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_run_that_must_not_be_repeated_goes_on_without_its_caller() {
+    let fleet = RelayFleet::start(7, &["a", "b"]).await;
+    leave_while_running(&fleet, "POST", "/b-once/wait-300/").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(
+        fleet.members[1]
+            .target
+            .runs()
+            .iter()
+            .all(|run| !run.abandoned)
+    );
+}
+
+#[tokio::test]
+async fn a_leaving_target_gets_nothing_more_also_from_senders_with_an_old_list() {
+    let fleet = RelayFleet::start(8, &["a", "b"]).await;
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
+    // Only the node beside the target hears of it.
+    fleet
+        .store
+        .turn_away(fleet.members[0].node.relay().cfg().name.as_str());
+    fleet
+        .store
+        .change(|targets| targets[1].instance.state = InstanceState::Leaving);
+    fleet
+        .until(|fleet| fleet.members[1].node.relay().view().own_leaving)
+        .await;
+    let answer = caller.ask("GET", "/b/", "2", b"").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(fleet.count("2"), 0);
+    // A list from before does not bring it back.
+    fleet
+        .store
+        .change(|targets| targets[1].instance.state = InstanceState::Live);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(fleet.members[1].node.relay().view().own_leaving);
+}
+
+#[tokio::test]
+async fn a_stopping_node_answers_what_it_read_and_closes_idle_connections() {
+    let fleet = RelayFleet::start(12, &["a", "b"]).await;
+    let mut busy = Caller::connect(fleet.members[0].outbound).await;
+    let mut idle = Caller::connect(fleet.members[0].outbound).await;
+    assert_eq!(idle.ask("GET", "/b/", "1", b"").await.status, 200);
+    let pipelined = [
+        request("GET", "/b/wait-600/", "2", b""),
+        request("GET", "/b/wait-100/", "3", b""),
+    ];
+    busy.send(&pipelined.concat()).await;
+    fleet.until(|fleet| fleet.count("3") == 1).await;
+    fleet.members[0].node.relay().enter(Phase::Leaving);
+    assert!(!fleet.members[0].node.relay().is_ready());
+    let first = busy.answer().await.unwrap();
+    assert_eq!((first.status, first.header("Connection")), (200, None));
+    let last = busy.answer().await.unwrap();
+    assert_eq!(
+        (last.status, last.header("Connection")),
+        (200, Some("close"))
+    );
+    let mut rest = [0; 1];
+    assert_eq!(
+        idle.stream.read(&mut rest).await.unwrap(),
+        0,
+        "closed in order"
+    );
+}
+
+#[tokio::test]
+async fn a_stopping_node_does_not_make_its_target_count_as_leaving() {
+    let mut fleet = RelayFleet::start(15, &["a", "b"]).await;
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    assert_eq!(caller.ask("GET", "/b/", "1", b"").await.status, 200);
+    fleet.members[1].node.relay().enter(Phase::Leaving);
+    assert_eq!(caller.ask("GET", "/b/", "2", b"").await.status, 503);
+    assert_eq!(fleet.count("2"), 0);
+    fleet.restart(1).await;
+    let mut last = 0;
+    for at in 3..60 {
+        last = caller.ask("GET", "/b/", &at.to_string(), b"").await.status;
+        if last == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(last, 200, "its target serves again within 3 s");
+}
