--- a/src/clock.rs
+++ b/src/clock.rs
@@ -39,7 +39,11 @@
 
     /// Returns the time that is `duration` after this one, saturating at the maximum.
     pub const fn plus(self, duration: Duration) -> Time {
-        Time(self.0.saturating_add(duration.as_micros() as u64))
+        let micros = duration.as_micros();
+        match micros < u64::MAX as u128 {
+            true => Time(self.0.saturating_add(micros as u64)),
+            false => Time(u64::MAX),
+        }
     }
 }
 
