Let two nodes of each failure domain read the store for the others

Cause: each node read the list each second and the configuration by a watch of its own.

Change: the first two live nodes of a failure domain by rendezvous hash read the store; the others ask both of them, and read the store themselves within 1.2 s when neither replies with recent content. A full read of the configuration is not started again.

Ruled out: one watch of the whole list in each reader, whose calls grow with the number of changes.

--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -15,10 +15,12 @@
 use crate::instance::InstanceName;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
+use crate::protocol::sync::KnownState;
+use crate::protocol::sync::SyncReply;
 
 /// Version of the message format. A node closes a connection that was opened by a node with another
 /// version.
-pub const FRAME_VERSION: u16 = 2;
+pub const FRAME_VERSION: u16 = 3;
 
 /// Size limit of one message, in bytes.
 const MAX_FRAME_BYTES: usize = 80 * 1024 * 1024;
@@ -176,6 +178,20 @@
         /// Result of the query; `None` if the receiver could not read the store either.
         result: Option<QueryResult>,
     },
+    /// Asks a reader of the store for what is newer than the state that the sender knows.
+    Sync {
+        /// Number of the question, unique on the connection.
+        number: u32,
+        /// What the sender knows.
+        known: KnownState,
+    },
+    /// Reply to [`Frame::Sync`].
+    SyncReply {
+        /// Number of the question.
+        number: u32,
+        /// What the sender did not know.
+        reply: Box<SyncReply>,
+    },
 }
 
 /// Returns the codec that splits a byte stream into messages.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,3 +7,4 @@
 pub mod hop;
 pub mod peer;
 pub mod store_query;
+pub mod sync;
--- /dev/null
+++ b/src/protocol/sync.rs
@@ -0,0 +1,47 @@
+//! What a reader of the platform's store passes on to the other nodes of its failure domain.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::coordination::route::RouteTable;
+use crate::protocol::store_query::TargetEntry;
+
+/// What a node knows already, so that a reader replies only with what is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownState {
+    /// Version of the configuration in force, or 0.
+    pub config_version: u64,
+    /// Revision of the store at which its list of targets was read, or 0.
+    pub list_revision: u64,
+}
+
+/// The list of targets as a reader knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetList {
+    /// The listed targets.
+    pub targets: Vec<TargetEntry>,
+    /// Revision of the store at which the list was read.
+    pub revision: u64,
+    /// Whether the store failed recently, so that entries may be missing although their targets
+    /// live.
+    pub store_unstable: bool,
+}
+
+/// Reply of a node that is asked for what it has read from the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// Whether the replying node reads the store itself and has read it within the last seconds. If
+    /// not, the asking node must read the store on its own.
+    pub fresh: bool,
+    /// The configuration, if it is newer than the known one.
+    pub routes: Option<RouteTable>,
+    /// The list of targets, if it is newer than the known one.
+    pub list: Option<TargetList>,
+}
+
+impl SyncReply {
+    /// Returns whether the reply has anything that the asking node does not know.
+    pub fn has_news(&self) -> bool {
+        self.routes.is_some() || self.list.is_some()
+    }
+}
--- a/src/relay/lifecycle.rs
+++ b/src/relay/lifecycle.rs
@@ -17,6 +17,7 @@
 use crate::relay::caller_server;
 use crate::relay::pages;
 use crate::relay::peer_server;
+use crate::relay::reader_sync;
 use crate::relay::socket;
 use crate::relay::store_sync;
 use crate::transport::server::Server;
@@ -72,13 +73,19 @@
         });
         let ready = ready.await?;
         let metrics = metrics.await?;
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(peer_server::accept(relay.clone(), peers)),
             tokio::spawn(store_sync::follow_routes(relay.clone())),
             tokio::spawn(store_sync::follow_targets(relay.clone())),
             tokio::spawn(store_sync::follow_local_target(relay.clone())),
             tokio::spawn(relay.admission_queue().clone().drop_late_requests()),
         ];
+        for rank in 0..reader_sync::READERS {
+            tasks.push(tokio::spawn(reader_sync::follow_reader(
+                relay.clone(),
+                rank,
+            )));
+        }
         Ok(RunningRelay {
             callers: tokio::spawn(caller_server::accept(relay.clone(), outbound)),
             relay,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
 pub mod peer_client;
 mod peer_connection;
 pub mod peer_server;
+pub mod reader_sync;
 pub mod response;
 pub mod run;
 pub mod socket;
@@ -154,6 +155,10 @@
     metrics: RelayMetrics,
     phase: watch::Sender<Phase>,
     newer_version_seen: Notify,
+    /// Notified when the view or the health of the store changes.
+    view_changed: Notify,
+    /// Time of the last reply of a reader, while this node follows one.
+    synced_at: Mutex<Option<Time>>,
     incarnation: u64,
 }
 
@@ -222,6 +227,8 @@
             metrics: RelayMetrics::new(),
             phase: watch::Sender::new(Phase::Serving),
             newer_version_seen: Notify::new(),
+            view_changed: Notify::new(),
+            synced_at: Mutex::default(),
             incarnation,
             clock,
         }
--- a/src/relay/peer_client.rs
+++ b/src/relay/peer_client.rs
@@ -24,6 +24,8 @@
 use crate::protocol::frame::RunRequest;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
+use crate::protocol::sync::KnownState;
+use crate::protocol::sync::SyncReply;
 use crate::relay::peer_connection::Command;
 use crate::relay::peer_connection::PeerConnection;
 use crate::relay::socket;
@@ -147,6 +149,26 @@
         timeout(max_time, rx).await.ok()?.ok()?
     }
 
+    /// Asks the node at `address` for what it has read from the store beyond `known`, and waits at
+    /// most `max_time`. Returns nothing on any failure.
+    pub async fn sync(
+        self: &Arc<PeerClient>,
+        address: SocketAddr,
+        known: KnownState,
+        max_time: Duration,
+    ) -> Option<SyncReply> {
+        if self.is_unreachable(address) {
+            return None;
+        }
+        let (tx, rx) = oneshot::channel();
+        let connection = self.connection(address);
+        connection
+            .commands
+            .try_send(Command::Sync(known, tx))
+            .ok()?;
+        timeout(max_time, rx).await.ok()?.ok()
+    }
+
     /// Sends a message to all connected nodes. A node whose queue is full is skipped.
     pub fn broadcast(&self, frame: &Frame) {
         let connections: Vec<ConnectionHandle> = self.lock().values().cloned().collect();
@@ -283,6 +305,7 @@
         match command {
             Command::Run(_, tx) => drop(tx.send(Reply::not_run(NotRunKind::TargetUnreachable))),
             Command::Read(_, tx) => drop(tx.send(None)),
+            Command::Sync(_, tx) => drop(tx),
             Command::Cancel(_) | Command::Send(_) => (),
         }
     }
--- a/src/relay/peer_connection.rs
+++ b/src/relay/peer_connection.rs
@@ -22,6 +22,8 @@
 use crate::protocol::frame::RunRequest;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
+use crate::protocol::sync::KnownState;
+use crate::protocol::sync::SyncReply;
 use crate::relay::peer_client::Reply;
 
 /// Time without a message, while a reply is pending, after which a ping is sent.
@@ -42,6 +44,8 @@
     Run(Box<RunRequest>, oneshot::Sender<Reply>),
     /// Read the store at the other node.
     Read(Query, oneshot::Sender<Option<QueryResult>>),
+    /// Ask the other node for what it has read from the store.
+    Sync(KnownState, oneshot::Sender<SyncReply>),
     /// Cancel the request with this number.
     Cancel(u32),
     /// Send a message that has no reply.
@@ -53,6 +57,7 @@
 pub(super) struct PeerConnection {
     pending_runs: HashMap<u32, oneshot::Sender<Reply>>,
     pending_reads: HashMap<u32, oneshot::Sender<Option<QueryResult>>>,
+    pending_syncs: HashMap<u32, oneshot::Sender<SyncReply>>,
     last_read_number: u32,
 }
 
@@ -92,7 +97,7 @@
                 }
                 out.clear();
             }
-            let pending = !self.pending_runs.is_empty() || !self.pending_reads.is_empty();
+            let pending = self.has_pending();
             let (idle_limit, action) = match (pending, pinged) {
                 (true, false) => (PING_AFTER, IdleAction::Ping),
                 (true, true) => (RECEIVE_TIMEOUT, IdleAction::Fail),
@@ -127,6 +132,12 @@
         }
     }
 
+    /// Returns whether a reply of the other node is due.
+    fn has_pending(&self) -> bool {
+        let runs = !self.pending_runs.is_empty();
+        runs || !self.pending_reads.is_empty() || !self.pending_syncs.is_empty()
+    }
+
     fn handle_command(&mut self, command: Command, out: &mut BytesMut) {
         match command {
             Command::Run(req, tx) => {
@@ -137,11 +148,15 @@
                 frame::append_or_log(out, &Frame::Run(req));
             }
             Command::Read(query, tx) => {
-                self.last_read_number = self.last_read_number.wrapping_add(1);
-                let number = self.last_read_number;
+                let number = self.next_read_number();
                 self.pending_reads.insert(number, tx);
                 frame::append_or_log(out, &Frame::Read { number, query });
             }
+            Command::Sync(known, tx) => {
+                let number = self.next_read_number();
+                self.pending_syncs.insert(number, tx);
+                frame::append_or_log(out, &Frame::Sync { number, known });
+            }
             Command::Cancel(number) => {
                 if self.pending_runs.remove(&number).is_some() {
                     frame::append_or_log(out, &Frame::Cancel(number));
@@ -151,6 +166,11 @@
         }
     }
 
+    fn next_read_number(&mut self) -> u32 {
+        self.last_read_number = self.last_read_number.wrapping_add(1);
+        self.last_read_number
+    }
+
     fn handle_frame(&mut self, bytes: &[u8]) -> io::Result<()> {
         let frame = frame::decode(bytes).map_err(io::Error::other)?;
         match frame {
@@ -170,6 +190,11 @@
                     drop(tx.send(result));
                 }
             }
+            Frame::SyncReply { number, reply } => {
+                if let Some(tx) = self.pending_syncs.remove(&number) {
+                    drop(tx.send(*reply));
+                }
+            }
             _ => (),
         }
         Ok(())
@@ -181,6 +206,7 @@
             drop(tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
         }
         self.pending_reads.clear();
+        self.pending_syncs.clear();
     }
 }
 
--- a/src/relay/peer_server.rs
+++ b/src/relay/peer_server.rs
@@ -23,6 +23,7 @@
 use crate::protocol::frame::Frame;
 use crate::protocol::frame::RunRequest;
 use crate::protocol::store_query::Query;
+use crate::protocol::sync::KnownState;
 use crate::relay::Relay;
 use crate::relay::run;
 use crate::relay::socket;
@@ -114,6 +115,7 @@
         Frame::Ping => send(tx, Frame::Pong).await?,
         Frame::Crash(report) => relay.record_crash_report(&report),
         Frame::Read { number, query } => spawn_store_read(relay, number, query, tx),
+        Frame::Sync { number, known } => spawn_sync(relay, number, known, tx),
         _ => (),
     }
     Ok(())
@@ -170,6 +172,21 @@
     });
 }
 
+/// Replies to a follower once there is something that it does not know.
+fn spawn_sync(relay: &Arc<Relay>, number: u32, known: KnownState, tx: &mpsc::Sender<Frame>) {
+    let relay = relay.clone();
+    let tx = tx.clone();
+    tokio::spawn(async move {
+        let reply = tokio::select! {
+            reply = relay.answer_sync(known) => Box::new(reply),
+            () = tx.closed() => return,
+        };
+        if send(&tx, Frame::SyncReply { number, reply }).await.is_err() {
+            log::debug!("reply dropped, the connection of the asking node is closed");
+        }
+    });
+}
+
 async fn send(tx: &mpsc::Sender<Frame>, frame: Frame) -> io::Result<()> {
     let sent = tx.send(frame).await;
     sent.map_err(|_| io::ErrorKind::BrokenPipe.into())
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -40,6 +40,9 @@
         let worked = matches!(result, Ok(_) | Err(StoreError::Compacted));
         let jitter = self.coordination().rng.random_range(0.0..1.0);
         let changed = self.store_health().record(worked, jitter, self.now());
+        if changed {
+            self.view_changed.notify_waiters();
+        }
         match &result {
             Ok(_) | Err(StoreError::Compacted) if changed => log::info!("store has recovered"),
             Err(e) if changed => log::warn!(error:% = e; "store is failing"),
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -37,8 +37,12 @@
 /// Time that a watch has to deliver a change that another node already reported.
 const PEER_VERSION_DELAY: Duration = Duration::from_millis(300);
 
-/// Time that the store may take to answer, beyond the wait of the query.
-const CALL_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
+/// Time that the store may take to begin its answer, beyond the wait of the query.
+pub const CALL_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Time that the answer to one call may take to arrive once it has begun. A large configuration is
+/// slow on a busy link.
+const MAX_TRANSFER_TIME: Duration = Duration::from_millis(4_000);
 
 /// First pause of a reader after a failed read, doubled up to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
@@ -63,6 +67,9 @@
 /// Time between two reads of the list while the local target is not in it.
 const UNLISTED_LIST_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time that a starting node waits for a reader to supply it before it watches the store itself.
+const READER_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Limit on the other nodes that are asked for one query.
 const MAX_PEERS_ASKED: usize = 2;
 
@@ -111,14 +118,15 @@
         StoreReader(Arc::new(read))
     }
 
-    /// Reads the store. The call may take the wait of the query plus `CALL_TIMEOUT_MARGIN`.
+    /// Reads the store. The function must give up if the answer does not begin within the wait of
+    /// the query plus [`CALL_TIMEOUT_MARGIN`], or if its transfer stalls.
     ///
     /// # Errors
     ///
     /// If the store refuses, cannot be reached or does not answer in time, or its response is
     /// malformed.
     pub async fn read(&self, query: Query) -> Result<QueryResult, StoreError> {
-        let max_time = query.max_wait() + CALL_TIMEOUT_MARGIN;
+        let max_time = query.max_wait() + CALL_TIMEOUT_MARGIN + MAX_TRANSFER_TIME;
         match timeout(max_time, (self.0)(query)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::TimedOut),
@@ -239,11 +247,24 @@
     None
 }
 
-/// Keeps the configuration up to date. Never returns.
+/// Keeps the configuration up to date, as long as no reader does. Never returns.
 pub async fn follow_routes(relay: Arc<Relay>) {
     let mut revision = None;
     let mut backoff = Backoff::new();
+    let mut starting = true;
     loop {
+        if relay.has_routes() && starting && !relay.is_reader() {
+            relay.wait_for_reader(READER_WAIT).await;
+            revision = None;
+        }
+        starting &= !relay.has_routes();
+        if relay.has_routes() && relay.is_following() {
+            tokio::select! {
+                () = relay.wait_while_following() => (),
+                () = wait_for_missed_version(&relay) => (),
+            }
+            revision = None;
+        }
         let query = match revision {
             None => Query::Routes,
             Some(revision) => Query::WatchRoutes {
@@ -251,9 +272,11 @@
                 wait_ms: routes_watch_time(&relay).as_millis() as u64,
             },
         };
+        // A full read returns the newest version. Starting it again would only delay it.
+        let is_watch = query.is_watch();
         let result = tokio::select! {
             result = read(&relay, query) => result,
-            () = wait_for_missed_version(&relay) => {
+            () = wait_for_missed_version(&relay), if is_watch => {
                 revision = None;
                 continue;
             }
@@ -280,11 +303,11 @@
     }
 }
 
-/// Returns the wait of the next watch of the configuration. It grows with the fleet and is
-/// jittered, so that the nodes do not call in step.
+/// Returns the wait of the next watch of the configuration. It grows with the number of nodes that
+/// watch, the readers, and is jittered, so that the nodes do not call in step.
 fn routes_watch_time(relay: &Relay) -> Duration {
-    let nodes = u32::try_from(relay.view().targets.len()).unwrap_or(u32::MAX);
-    let max_time = FLEET_WATCH_PERIOD.saturating_mul(nodes);
+    let readers = u32::try_from(relay.view().reader_count()).unwrap_or(u32::MAX);
+    let max_time = FLEET_WATCH_PERIOD.saturating_mul(readers);
     let max_time = max_time.clamp(MIN_WATCH, MAX_WATCH);
     max_time.mul_f64(relay.coordination().rng.random_range(0.5..=1.0))
 }
@@ -307,10 +330,11 @@
     }
 }
 
-/// Keeps the list of targets up to date. Never returns.
+/// Keeps the list of targets up to date, as long as no reader does. Never returns.
 pub async fn follow_targets(relay: Arc<Relay>) {
     let mut backoff = Backoff::new();
     loop {
+        relay.wait_while_following().await;
         match read(&relay, Query::Targets).await {
             Ok(result) => {
                 backoff = Backoff::new();
--- a/src/relay/store_view.rs
+++ b/src/relay/store_view.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Time;
 use crate::coordination::route::RouteTable;
+use crate::instance::DomainName;
 use crate::instance::Instance;
 use crate::instance::InstanceName;
 use crate::instance::InstanceState;
@@ -18,6 +19,7 @@
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
 use crate::protocol::store_query::TargetEntry;
+use crate::relay::reader_sync::READERS;
 
 /// Time for which a target that is missing from the list is still used. The list may be stale or
 /// incomplete, and the node beside a target that has left refuses requests.
@@ -42,6 +44,8 @@
     pub local_removed: bool,
     /// Time of the last read of the list.
     pub listed_at: Time,
+    /// Revision of the store at the last read of the list, or 0.
+    pub list_revision: u64,
     /// For each target that is missing from the list, the time at which it was first missing.
     pub missing_since: HashMap<InstanceName, Time>,
 }
@@ -82,6 +86,30 @@
         self.missing_since.len() * 2 > self.targets.len()
     }
 
+    /// Returns whether a list of targets was read.
+    pub fn has_list(&self) -> bool {
+        self.list_revision > 0
+    }
+
+    /// Returns the number of nodes that read the store, which are the readers of all failure
+    /// domains.
+    pub fn reader_count(&self) -> usize {
+        let mut nodes: HashMap<&DomainName, usize> = HashMap::new();
+        for target in &self.targets {
+            *nodes.entry(&target.instance.domain).or_default() += 1;
+        }
+        nodes.values().map(|count| (*count).min(READERS)).sum()
+    }
+
+    /// Returns the targets of the last list, without those that are missing from it.
+    pub fn listed_targets(&self) -> Vec<TargetEntry> {
+        let listed = self
+            .targets
+            .iter()
+            .filter(|target| !self.missing_since.contains_key(&target.instance.name));
+        listed.cloned().collect()
+    }
+
     /// Returns all instances in use, also those that are draining.
     pub fn instances(&self) -> Vec<Instance> {
         self.targets.iter().map(|t| t.instance.clone()).collect()
--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::Time;
 use crate::coordination::route::RouteTable;
 use crate::instance::InstanceName;
 use crate::instance::InstanceState;
 use crate::protocol::frame::Frame;
 use crate::protocol::store_query::TargetChange;
 use crate::protocol::store_query::TargetEntry;
+use crate::protocol::sync::TargetList;
 use crate::relay::Relay;
 use crate::relay::store_view::StoreView;
 
@@ -36,6 +38,7 @@
         let Some(table) = table.filter(|_| newer) else {
             return;
         };
+        self.view_changed.notify_waiters();
         log::info!(
             version = table.version, before = current, revision = revision,
             routes = table.routes().count();
@@ -72,17 +75,33 @@
         self.newer_version_seen.notified().await;
     }
 
-    /// Merges a list of targets into the view and updates the router. `revision` is that of the
-    /// store, for the log.
-    pub fn apply_targets(&self, list: Vec<TargetEntry>, revision: u64) {
+    /// Returns whether the store failed recently, so that entries may be missing from it although
+    /// their targets live.
+    pub fn is_store_unstable(&self, now: Time) -> bool {
+        self.store_health().is_unstable(STORE_SETTLE_TIME, now)
+    }
+
+    /// Merges a list of targets that this node has read at `revision` of the store.
+    pub fn apply_targets(&self, targets: Vec<TargetEntry>, revision: u64) {
+        self.apply_list(TargetList {
+            targets,
+            revision,
+            store_unstable: false,
+        });
+    }
+
+    /// Merges a list of targets into the view and updates the router.
+    pub fn apply_list(&self, list: TargetList) {
         let cfg = self.cfg();
         let now = self.now();
-        let store_unstable = self.store_health().is_unstable(STORE_SETTLE_TIME, now);
+        let revision = list.revision;
+        let store_unstable = list.store_unstable || self.is_store_unstable(now);
         let (instances, is_new_local_target, starts_draining, changed) = {
             let mut view = self.write_view();
             let before = view.clone();
             let mut next = StoreView::clone(&before);
-            next.merge(list, cfg.target, store_unstable, now);
+            next.merge(list.targets, cfg.target, store_unstable, now);
+            next.list_revision = revision;
             let is_new_local_target = !next.has_same_local_target(&before);
             let starts_draining = next.local_draining && !before.local_draining;
             let changed = next.targets != before.targets || is_new_local_target || starts_draining;
@@ -94,6 +113,7 @@
                 changed,
             )
         };
+        self.view_changed.notify_waiters();
         self.recheck_local_entry();
         if !changed {
             return;
--- a/tests/relays/store_calls.rs
+++ b/tests/relays/store_calls.rs
@@ -82,6 +82,125 @@
     );
 }
 
+/// While other nodes report a newer version again and again, a read that takes longer than the time
+/// between two reports must come to its end.
+#[tokio::test]
+async fn a_slow_read_of_the_configuration_is_not_started_again() {
+    let fleet = RelayFleet::start(37, &["a", "b"]).await;
+    fleet.store.silence_watches();
+    fleet.store.slow_reads(Duration::from_millis(700));
+    fleet.store.publish(table(2, &["a", "b"]));
+    let relay = fleet.members[0].node.relay();
+    let reported = async {
+        loop {
+            relay.handle_peer_version(2);
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let applied = async {
+        while relay.config_version() < 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::select! {
+        () = reported => (),
+        () = applied => (),
+        () = sleep(APPLY_LIMIT) => panic!("not in force after {APPLY_LIMIT:?}"),
+    }
+}
+
+/// Only two nodes of a failure domain read the store; a node that follows them calls it only to
+/// watch the entry of its target.
+#[tokio::test]
+async fn the_readers_of_a_failure_domain_supply_its_other_nodes() {
+    let fleet = RelayFleet::start(38, &["a", "a", "a", "a", "b", "b", "b", "b"]).await;
+    let following = |fleet: &RelayFleet| {
+        let nodes = fleet.members.iter().map(|member| member.node.relay());
+        nodes.filter(|relay| relay.is_following()).count()
+    };
+    fleet.wait_until(|fleet| following(fleet) == 6).await;
+    let calls_before = fleet.store.all_calls();
+    sleep(Duration::from_secs(5)).await;
+    let calls = fleet.store.all_calls() - calls_before;
+    // Two readers read the list each second and watch the configuration for 1 s to 2 s.
+    let most = 2 * (5 + 5 + 2) + 8;
+    assert!(
+        calls <= most,
+        "{calls} calls in 5 s, expected at most {most}"
+    );
+
+    fleet.store.publish(table(2, &["a", "b"]));
+    fleet
+        .store
+        .change(|targets| targets.retain(|target| target.instance.name.as_str() != "b-7"));
+    let changed = |fleet: &RelayFleet| {
+        let nodes = fleet.members.iter().map(|member| member.node.relay());
+        nodes.into_iter().all(|relay| {
+            relay.config_version() == 2 && relay.view().targets.len() == fleet.members.len() - 1
+        })
+    };
+    let changed = timeout(Duration::from_secs(8), fleet.wait_until(changed)).await;
+    assert!(
+        changed.is_ok(),
+        "changes of the store did not reach all nodes"
+    );
+}
+
+/// A fault of both readers, and whether the other nodes must then read the store themselves.
+struct ReaderFault {
+    name: &'static str,
+    block: u8,
+    inject: fn(&RelayFleet, &[usize]),
+}
+
+const READER_FAULTS: &[ReaderFault] = &[
+    ReaderFault {
+        name: "are killed",
+        block: 39,
+        inject: |fleet, readers| readers.iter().for_each(|at| fleet.members[*at].node.kill()),
+    },
+    ReaderFault {
+        name: "are refused by the store",
+        block: 42,
+        inject: |fleet, readers| {
+            for at in readers {
+                let name = fleet.members[*at].node.relay().cfg().name.clone();
+                fleet.store.refuse_node(name.as_str());
+            }
+        },
+    },
+];
+
+#[tokio::test]
+async fn nodes_read_the_store_themselves_when_their_readers_fail() {
+    for case in READER_FAULTS {
+        let fleet = RelayFleet::start(case.block, &["a", "a", "a", "a"]).await;
+        let is_reader = |at: &usize| fleet.members[*at].node.relay().is_reader();
+        let (readers, followers): (Vec<usize>, Vec<usize>) = (0..4).partition(is_reader);
+        assert_eq!(readers.len(), 2);
+        fleet
+            .wait_until(|fleet| {
+                followers
+                    .iter()
+                    .all(|at| fleet.members[*at].node.relay().is_following())
+            })
+            .await;
+        (case.inject)(&fleet, &readers);
+        fleet.store.publish(table(2, &["a"]));
+        let applied = fleet.wait_until(|fleet| {
+            followers
+                .iter()
+                .all(|at| fleet.members[*at].node.relay().config_version() == 2)
+        });
+        let applied = timeout(APPLY_LIMIT, applied).await;
+        assert!(
+            applied.is_ok(),
+            "the new configuration is not in force after {APPLY_LIMIT:?} when the readers {}",
+            case.name
+        );
+    }
+}
+
 #[tokio::test]
 async fn an_unchanged_store_is_called_rarely() {
     let fleet = RelayFleet::start(33, &["a", "b"]).await;
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -57,6 +57,7 @@
     targets: Vec<TargetEntry>,
     refused_nodes: Vec<String>,
     silent_watches: bool,
+    slow_reads: Option<Duration>,
     breaks: u32,
     calls: HashMap<String, u32>,
 }
@@ -93,11 +94,21 @@
         self.0.lock().unwrap().silent_watches = true;
     }
 
+    /// Makes reads of the configuration take `time` from now on.
+    pub(crate) fn slow_reads(&self, time: Duration) {
+        self.0.lock().unwrap().slow_reads = Some(time);
+    }
+
     /// Breaks the connections of all pending watches.
     pub(crate) fn break_watches(&self) {
         self.0.lock().unwrap().breaks += 1;
     }
 
+    /// Returns the number of calls of all nodes.
+    pub(crate) fn all_calls(&self) -> u32 {
+        self.0.lock().unwrap().calls.values().sum()
+    }
+
     /// Returns the number of calls of a node.
     pub(crate) fn calls(&self, node: &str) -> u32 {
         let state = self.0.lock().unwrap();
@@ -126,6 +137,10 @@
             *state.calls.entry(node.to_owned()).or_default() += 1;
             state.breaks
         };
+        let slow = self.0.lock().unwrap().slow_reads;
+        if let (Query::Routes, Some(time)) = (&query, slow) {
+            tokio::time::sleep(time).await;
+        }
         loop {
             if self.0.lock().unwrap().breaks != breaks {
                 return Err(StoreError::Unreachable("cut".to_owned()));
