Accept no response without an id on a used connection, and bound endless responses

Cause: a failure or refusal without an echoed request id was accepted on a connection that other requests had used. A late copy of a refusal then said of the next request that it was not run, and a non-idempotent one could have been sent again. Endless bodies were buffered up to 64 MiB each, without a limit on all of them, and chunk extensions and trailers without end were read until the deadline.

Change: without an id, only the first response of a new connection counts.

Measured: tests/target_client.rs; the cases without an id, of trailers and of chunk extensions fail without the change.

--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -8,6 +8,15 @@
 /// Size limit of a chunk-size line and of a trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
 
+/// Length of the CR LF at the end of a line.
+const LINE_END_BYTES: usize = 2;
+
+/// Limit on the bytes of chunk-size lines and trailers, beyond [`OVERHEAD_PER_BYTE`].
+const MAX_OVERHEAD_BYTES: usize = 16 * 1024;
+
+/// Bytes of framing that are accepted for each byte of the body. Chunks of one byte need five.
+const OVERHEAD_PER_BYTE: usize = 8;
+
 /// How a message delimits its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -25,6 +34,8 @@
     state: State,
     max_bytes: usize,
     body: Vec<u8>,
+    /// Bytes of chunk-size lines and trailers so far.
+    overhead: usize,
 }
 
 /// What the decoder expects next. The numbers are the remaining bytes. `ChunkEnd` is the line end
@@ -53,6 +64,7 @@
             state,
             max_bytes,
             body: Vec::new(),
+            overhead: 0,
         }
     }
 
@@ -95,6 +107,7 @@
                     let Some(line) = take_line(buf)? else {
                         return Ok(false);
                     };
+                    self.count_overhead(line.len())?;
                     self.state = next_state(self.state, &line)?;
                 }
             }
@@ -124,6 +137,17 @@
         }
     }
 
+    /// Counts a line of the framing. Fails if the lines are out of proportion to the body, as they
+    /// are if extensions or trailers never end.
+    fn count_overhead(&mut self, bytes: usize) -> Result<(), MessageError> {
+        self.overhead += bytes + LINE_END_BYTES;
+        let max = MAX_OVERHEAD_BYTES + self.body.len().saturating_mul(OVERHEAD_PER_BYTE);
+        match self.overhead <= max {
+            true => Ok(()),
+            false => Err(MessageError::Malformed),
+        }
+    }
+
     /// Moves at most `max` bytes from `buf` to the body. Returns their number.
     fn consume(&mut self, buf: &mut BytesMut, max: u64) -> u64 {
         let len = (buf.len() as u64).min(max);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission_queue;
 mod attempt;
+pub mod body_memory;
 pub mod call;
 pub mod caller_server;
 pub mod header_names;
@@ -66,6 +67,7 @@
 use crate::protocol::frame::Frame;
 use crate::protocol::store_query::TargetEntry;
 use crate::relay::admission_queue::AdmissionQueue;
+use crate::relay::body_memory::BodyMemory;
 use crate::relay::header_names::HeaderNames;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::peer_client::PeerClient;
@@ -107,7 +109,7 @@
     pub retry_ratio: f64,
     /// Sliding window over which `retry_ratio` is measured.
     pub retry_window: Duration,
-    /// Limit on the bytes of bodies that are buffered at once.
+    /// Limit on the bytes of bodies that are buffered at once. A change takes effect at a restart.
     pub body_memory: usize,
 }
 
@@ -148,6 +150,7 @@
     coordination: Mutex<CoordinationState>,
     admission_queue: Arc<AdmissionQueue>,
     target_client: TargetClient,
+    body_memory: BodyMemory,
     unreachable_until: Mutex<Option<Time>>,
     last_draining_hint: Mutex<Option<Time>>,
     connected_peers: Mutex<Vec<IpAddr>>,
@@ -193,6 +196,7 @@
         let mut rng = ChaCha12Rng::seed_from_u64(seed);
         let incarnation = rng.next_u64();
         let local_ip = cfg.peers.ip();
+        let body_memory = BodyMemory::new(cfg.body_memory);
         let local_node = LocalNode {
             instance: cfg.name.clone(),
             domain: cfg.domain.clone(),
@@ -219,7 +223,8 @@
             local_target_changed: Notify::new(),
             coordination: Mutex::new(coordination),
             admission_queue: Arc::new(AdmissionQueue::new(clock.clone())),
-            target_client: TargetClient::new(header_names),
+            target_client: TargetClient::new(header_names, body_memory.clone()),
+            body_memory,
             unreachable_until: Mutex::default(),
             last_draining_hint: Mutex::default(),
             connected_peers: Mutex::default(),
@@ -281,6 +286,11 @@
         &self.target_client
     }
 
+    /// Returns the count of the buffered bytes of bodies.
+    pub fn body_memory(&self) -> &BodyMemory {
+        &self.body_memory
+    }
+
     /// Returns the address of the local target.
     pub fn target_address(&self) -> SocketAddr {
         self.cfg().target
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -21,17 +21,16 @@
 use crate::http1::head;
 use crate::http1::head::MessageError;
 use crate::http1::write;
+use crate::relay::body_memory::BodyMemory;
 use crate::relay::header_names::HeaderNames;
 use crate::relay::socket;
 
 /// Limit on the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Limit on the body of a response, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
-
-/// Limit on the responses to other requests that are skipped before the expected one.
-const MAX_STALE_RESPONSES: usize = 3;
+/// Limit on the interim responses and the responses to other requests that are skipped before the
+/// expected one.
+const MAX_SKIPPED_RESPONSES: usize = 3;
 
 /// Limit on the idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 128;
@@ -103,6 +102,13 @@
     },
 }
 
+/// A connection to the target that carries a request.
+struct Connection {
+    stream: TcpStream,
+    /// Whether it carried other requests before.
+    reused: bool,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     stream: TcpStream,
@@ -114,14 +120,16 @@
 #[derive(Debug)]
 pub struct TargetClient {
     header_names: HeaderNames,
+    body_memory: BodyMemory,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
 impl TargetClient {
-    /// Builds a client with an empty pool.
-    pub fn new(header_names: HeaderNames) -> TargetClient {
+    /// Builds a client with an empty pool, which buffers bodies within the limit of `body_memory`.
+    pub fn new(header_names: HeaderNames, body_memory: BodyMemory) -> TargetClient {
         TargetClient {
             header_names,
+            body_memory,
             idle: Mutex::default(),
         }
     }
@@ -133,8 +141,8 @@
 
     /// Sends a request and reads its response. Dropping the future closes the connection.
     pub async fn run(&self, address: SocketAddr, request: &TargetRequest) -> TargetOutcome {
-        let mut stream = match self.connection(address, request.idempotent).await {
-            Ok(stream) => stream,
+        let mut connection = match self.connection(address, request.idempotent).await {
+            Ok(connection) => connection,
             Err(e) => return TargetOutcome::Unsent(e),
         };
         let mut guard = StaleIdleGuard {
@@ -142,14 +150,14 @@
             sent_at: Instant::now(),
             armed: true,
         };
-        let (whole_request_sent, read) = self.send_and_receive(&mut stream, request).await;
+        let (whole_request_sent, read) = self.send_and_receive(&mut connection, request).await;
         guard.armed = false;
         let read = match read {
             Ok(read) => read,
             Err(outcome) => return outcome,
         };
         if whole_request_sent && read.reusable {
-            self.push_idle(stream, read.keep_alive);
+            self.push_idle(connection.stream, read.keep_alive);
         }
         let refused = read.response.status == 421
             || head::find_header(&read.response.headers, self.header_names.not_run).is_some();
@@ -163,7 +171,7 @@
     /// written. Returns whether the whole request was written, and the response.
     async fn send_and_receive(
         &self,
-        stream: &mut TcpStream,
+        connection: &mut Connection,
         request: &TargetRequest,
     ) -> (bool, Result<ReadResponse, TargetOutcome>) {
         let mut out = Vec::with_capacity(512 + request.body.len());
@@ -175,8 +183,9 @@
             &request.headers,
             &request.body,
         );
-        let (mut rd, mut wr) = stream.split();
-        let read = self.receive_response(&mut rd, request);
+        let reused = connection.reused;
+        let (mut rd, mut wr) = connection.stream.split();
+        let read = self.receive_response(&mut rd, request, reused);
         tokio::pin!(read);
         tokio::select! {
             biased;
@@ -185,7 +194,7 @@
         }
     }
 
-    async fn connection(&self, address: SocketAddr, idempotent: bool) -> io::Result<TcpStream> {
+    async fn connection(&self, address: SocketAddr, idempotent: bool) -> io::Result<Connection> {
         while let Some(idle) = self.pop_idle() {
             let share = match idempotent {
                 true => REUSE_SHARE,
@@ -196,7 +205,10 @@
                 && is_open_and_idle(&idle.stream)
                 && idle.stream.peer_addr().ok() == Some(address)
             {
-                return Ok(idle.stream);
+                return Ok(Connection {
+                    stream: idle.stream,
+                    reused: true,
+                });
             }
         }
         let connecting = TcpStream::connect(address);
@@ -205,7 +217,10 @@
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
         socket::set_options(&stream)?;
-        Ok(stream)
+        Ok(Connection {
+            stream,
+            reused: false,
+        })
     }
 
     fn pop_idle(&self) -> Option<IdleConnection> {
@@ -230,14 +245,18 @@
 
     /// Reads the response to `request`, and skips interim responses and late responses to other
     /// requests.
+    ///
+    /// On a connection that other requests used before, a response without a request id may be a
+    /// late copy of the response to one of them, and is not accepted.
     async fn receive_response(
         &self,
         rd: &mut ReadHalf<'_>,
         request: &TargetRequest,
+        reused: bool,
     ) -> Result<ReadResponse, TargetOutcome> {
         let mut buf = BytesMut::with_capacity(2_048);
-        for _ in 0..=MAX_STALE_RESPONSES {
-            let (head, body) = read_response(rd, &mut buf, &request.method).await?;
+        for skipped in 0..=MAX_SKIPPED_RESPONSES {
+            let (head, body) = self.read_response(rd, &mut buf, &request.method).await?;
             if head.status / 100 == 1 {
                 continue;
             }
@@ -245,7 +264,13 @@
             if echoed.is_some_and(|echoed| echoed != request.id) {
                 continue;
             }
-            if !self.is_valid_response(&head, echoed) {
+            let may_be_copy = echoed.is_none() && (reused || skipped > 0);
+            if may_be_copy || !self.is_valid_response(&head, echoed) {
+                log::debug!(
+                    request:% = request.id, status = head.status, echoed = echoed.is_some(),
+                    reused = reused;
+                    "response of the target is not accepted"
+                );
                 return Err(lost_response(UnknownKind::AnswerTruncated, false));
             }
             let keep_alive = head
@@ -265,6 +290,51 @@
         Err(lost_response(UnknownKind::AnswerTruncated, false))
     }
 
+    /// Reads one response from the connection. Its body counts as buffered until it is complete.
+    async fn read_response(
+        &self,
+        rd: &mut ReadHalf<'_>,
+        buf: &mut BytesMut,
+        method: &str,
+    ) -> Result<(ResponseHead, Vec<u8>), TargetOutcome> {
+        let head = loop {
+            match head::parse_response(buf, MAX_HEAD_BYTES, method) {
+                Ok(Some((head, len))) => {
+                    buf.advance(len);
+                    break head;
+                }
+                Ok(None) => (),
+                Err(e) => return Err(malformed_response(&e)),
+            }
+            let before_response = buf.is_empty();
+            match rd.read_buf(buf).await {
+                Ok(n) if n > 0 => (),
+                Ok(_) | Err(_) => {
+                    return Err(lost_response(UnknownKind::ConnectionLost, before_response));
+                }
+            }
+        };
+        let mut decoder = BodyDecoder::new(head.framing, self.body_memory.max_body_bytes());
+        let mut reservation = self.body_memory.reserve();
+        loop {
+            match decoder.decode(buf) {
+                Ok(true) => break,
+                Ok(false) => (),
+                Err(e) => return Err(malformed_response(&e)),
+            }
+            if !reservation.extend_to(decoder.decoded_len() + buf.len()) {
+                log::warn!("response of the target is not read, the memory for bodies is used up");
+                return Err(lost_response(UnknownKind::AnswerTruncated, false));
+            }
+            match rd.read_buf(buf).await {
+                Ok(n) if n > 0 => (),
+                Ok(_) if head.framing == Framing::UntilClose => break,
+                Ok(_) | Err(_) => return Err(lost_response(UnknownKind::AnswerTruncated, false)),
+            }
+        }
+        Ok((head, decoder.into_body()))
+    }
+
     /// Returns whether a response is valid: no response may have a content encoding, and a
     /// successful one must echo the request id and carry a signature.
     fn is_valid_response(&self, head: &ResponseHead, echoed: Option<&str>) -> bool {
@@ -301,44 +371,6 @@
     keep_alive: Duration,
 }
 
-async fn read_response(
-    rd: &mut ReadHalf<'_>,
-    buf: &mut BytesMut,
-    method: &str,
-) -> Result<(ResponseHead, Vec<u8>), TargetOutcome> {
-    let head = loop {
-        match head::parse_response(buf, MAX_HEAD_BYTES, method) {
-            Ok(Some((head, len))) => {
-                buf.advance(len);
-                break head;
-            }
-            Ok(None) => (),
-            Err(e) => return Err(malformed_response(&e)),
-        }
-        let before_response = buf.is_empty();
-        match rd.read_buf(buf).await {
-            Ok(n) if n > 0 => (),
-            Ok(_) | Err(_) => {
-                return Err(lost_response(UnknownKind::ConnectionLost, before_response));
-            }
-        }
-    };
-    let mut decoder = BodyDecoder::new(head.framing, MAX_BODY_BYTES);
-    loop {
-        match decoder.decode(buf) {
-            Ok(true) => break,
-            Ok(false) => (),
-            Err(e) => return Err(malformed_response(&e)),
-        }
-        match rd.read_buf(buf).await {
-            Ok(n) if n > 0 => (),
-            Ok(_) if head.framing == Framing::UntilClose => break,
-            Ok(_) | Err(_) => return Err(lost_response(UnknownKind::AnswerTruncated, false)),
-        }
-    }
-    Ok((head, decoder.into_body()))
-}
-
 fn malformed_response(e: &MessageError) -> TargetOutcome {
     log::debug!("malformed response of the target: {e}");
     lost_response(UnknownKind::AnswerTruncated, false)
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,6 +1,7 @@
 //! Tests of the plain HTTP/1.1 request path, with real nodes on loopback.
 
 mod support {
+    pub(crate) mod header_names;
     pub(crate) mod plain_target;
     pub(crate) mod relay_fleet;
 }
@@ -16,8 +17,8 @@
 
 use std::time::Duration;
 
+use crate::support::header_names::HEADER_NAMES;
 use crate::support::relay_fleet::Caller;
-use crate::support::relay_fleet::HEADER_NAMES;
 use crate::support::relay_fleet::RelayFleet;
 use crate::support::relay_fleet::request;
 
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use super::relay_fleet::HEADER_NAMES;
+use super::header_names::HEADER_NAMES;
 
 const MAX_HEAD: usize = 64 * 1024;
 
@@ -129,9 +129,11 @@
             .header(HEADER_NAMES.target_instance)
             .unwrap_or_default()
             .to_owned();
+        let id = head.header(HEADER_NAMES.request_id).unwrap_or_default();
+        let echoed = format!("{}: {id}\r\n", HEADER_NAMES.request_id);
         if addressed != name {
             let text = format!(
-                "HTTP/1.1 421 Misdirected\r\n{}: {name}\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 421 Misdirected\r\n{echoed}{}: {name}\r\nContent-Length: 0\r\n\r\n",
                 HEADER_NAMES.instance
             );
             stream.write_all(text.as_bytes()).await.ok();
@@ -139,7 +141,7 @@
         }
         if head.path().contains("/full") {
             let text = format!(
-                "HTTP/1.1 503 Full\r\n{}: 1\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 Full\r\n{echoed}{}: 1\r\nContent-Length: 0\r\n\r\n",
                 HEADER_NAMES.not_run
             );
             stream.write_all(text.as_bytes()).await.ok();
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -24,7 +24,6 @@
 use dragonflylead::protocol::store_query::TargetEntry;
 use dragonflylead::relay::Relay;
 use dragonflylead::relay::RelayConfig;
-use dragonflylead::relay::header_names::HeaderNames;
 use dragonflylead::relay::lifecycle::RunningRelay;
 use dragonflylead::relay::store_sync::StoreError;
 use dragonflylead::relay::store_sync::StoreReader;
@@ -32,20 +31,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use super::header_names::HEADER_NAMES;
 use super::plain_target::PlainTarget;
 
-/// Header names that the tests use.
-pub(crate) const HEADER_NAMES: HeaderNames = HeaderNames {
-    request_id: "X-Id",
-    deadline_ms: "X-Deadline",
-    target_instance: "X-Target",
-    caller_service: "X-Caller",
-    signature: "X-Signature",
-    not_run: "X-Not-Run",
-    instance: "X-Instance",
-    load: "X-Load",
-};
-
 /// Time that a test waits for a condition or a response before it fails.
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
--- /dev/null
+++ b/tests/target_client.rs
@@ -0,0 +1,287 @@
+//! Responses of a faulty target: copies of earlier responses, and bytes that never end.
+
+mod support {
+    pub(crate) mod header_names;
+    pub(crate) mod scripted_target;
+}
+
+use std::time::Duration;
+
+use dragonflylead::relay::body_memory::BodyMemory;
+use dragonflylead::relay::target_client::TargetClient;
+use dragonflylead::relay::target_client::TargetOutcome;
+use dragonflylead::relay::target_client::TargetRequest;
+use tokio::time::timeout;
+
+use crate::support::header_names::HEADER_NAMES;
+use crate::support::scripted_target::Reaction;
+use crate::support::scripted_target::ScriptedTarget;
+
+/// Limit on the buffered bytes of bodies in these tests.
+const BODY_MEMORY: usize = 1 << 20;
+
+/// Time in which a request must have an outcome.
+const OUTCOME_LIMIT: Duration = Duration::from_secs(10);
+
+/// Bytes that may wait in the socket buffers of one connection.
+const SOCKET_BUFFERS: usize = 16 << 20;
+
+fn target_request(id: &str, idempotent: bool) -> TargetRequest {
+    TargetRequest {
+        id: id.to_owned(),
+        method: "POST".to_owned(),
+        path: "/x".to_owned(),
+        host: "h.example".to_owned(),
+        headers: vec![(HEADER_NAMES.request_id.to_owned(), id.as_bytes().to_vec())],
+        body: Vec::new(),
+        idempotent,
+    }
+}
+
+/// Returns a short name of an outcome: the status of a response, or how the request ended.
+fn outcome_name(outcome: &TargetOutcome) -> String {
+    match outcome {
+        TargetOutcome::Answered(response) => format!("answered {}", response.status),
+        TargetOutcome::Refused(response) => format!("refused {}", response.status),
+        TargetOutcome::Unsent(_) => "unsent".to_owned(),
+        TargetOutcome::Lost { .. } => "lost".to_owned(),
+    }
+}
+
+fn response(status: u16, id: Option<&str>, refused: bool) -> Vec<u8> {
+    let echoed = id.map_or(String::new(), |id| {
+        format!("{}: {id}\r\n", HEADER_NAMES.request_id)
+    });
+    let refused = match refused {
+        true => format!("{}: 1\r\n", HEADER_NAMES.not_run),
+        false => String::new(),
+    };
+    let signed = format!("{}: s\r\n", HEADER_NAMES.signature);
+    let head = format!("HTTP/1.1 {status} X\r\n{echoed}{refused}{signed}");
+    format!("{head}Content-Length: 2\r\n\r\nok").into_bytes()
+}
+
+/// What the target sends for the second request of a connection, before or instead of its response.
+struct CopyCase {
+    name: &'static str,
+    copy: fn() -> Vec<u8>,
+    outcome: &'static str,
+}
+
+const COPY_CASES: &[CopyCase] = &[
+    CopyCase {
+        name: "nothing",
+        copy: Vec::new,
+        outcome: "answered 200",
+    },
+    CopyCase {
+        name: "second copy of the first response",
+        copy: || response(200, Some("first"), false),
+        outcome: "answered 200",
+    },
+    CopyCase {
+        name: "refusal of the first request",
+        copy: || response(503, Some("first"), true),
+        outcome: "answered 200",
+    },
+    CopyCase {
+        name: "refusal without an id",
+        copy: || response(503, None, true),
+        outcome: "lost",
+    },
+    CopyCase {
+        name: "misdirected without an id",
+        copy: || response(421, None, false),
+        outcome: "lost",
+    },
+    CopyCase {
+        name: "failure without an id",
+        copy: || response(500, None, false),
+        outcome: "lost",
+    },
+    CopyCase {
+        name: "second copy, then a refusal without an id",
+        copy: || {
+            [
+                response(200, Some("first"), false),
+                response(503, None, true),
+            ]
+            .concat()
+        },
+        outcome: "lost",
+    },
+];
+
+/// A late copy must not be taken for the response to the next request on the connection. A refusal
+/// would be the worst: the request would be sent again although it runs.
+#[tokio::test]
+async fn a_late_copy_is_not_the_response_to_the_next_request() {
+    for case in COPY_CASES {
+        let target = ScriptedTarget::start(move |number| match number {
+            0 => Reaction::Send(response(200, Some("first"), false)),
+            _ => Reaction::Send([(case.copy)(), response(200, Some("second"), false)].concat()),
+        })
+        .await;
+        let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+        let first = client
+            .run(target.address, &target_request("first", false))
+            .await;
+        assert_eq!(outcome_name(&first), "answered 200");
+        let second = client
+            .run(target.address, &target_request("second", false))
+            .await;
+        assert_eq!(outcome_name(&second), case.outcome, "{}", case.name);
+        assert_eq!(target.connections(), 1, "the connection must be reused");
+    }
+}
+
+/// A refusal on a new connection can only belong to its first request.
+#[tokio::test]
+async fn a_refusal_without_an_id_counts_on_a_new_connection() {
+    let target = ScriptedTarget::start(|_| Reaction::Send(response(503, None, true))).await;
+    let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+    let outcome = client
+        .run(target.address, &target_request("first", false))
+        .await;
+    assert_eq!(outcome_name(&outcome), "refused 503");
+}
+
+/// Bytes that arrive while no request is waiting make the connection unusable, whole or in part.
+#[tokio::test]
+async fn a_connection_with_unexpected_bytes_is_not_used_again() {
+    for extra in [&b"H"[..], &response(200, Some("first"), false), b"\r\n"] {
+        let extra = extra.to_vec();
+        let target = ScriptedTarget::start(move |number| match number {
+            0 => Reaction::SendThenLater(response(200, Some("first"), false), extra.clone()),
+            _ => Reaction::Send(response(200, Some("second"), false)),
+        })
+        .await;
+        let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+        client
+            .run(target.address, &target_request("first", false))
+            .await;
+        target.wait_for_later_bytes().await;
+        let second = client
+            .run(target.address, &target_request("second", false))
+            .await;
+        assert_eq!(outcome_name(&second), "answered 200");
+        assert_eq!(target.connections(), 2);
+    }
+}
+
+/// A response that never ends: its beginning, and what follows again and again.
+struct EndlessCase {
+    name: &'static str,
+    start: &'static str,
+    repeated: &'static str,
+}
+
+const ENDLESS_CASES: &[EndlessCase] = &[
+    EndlessCase {
+        name: "head",
+        start: "HTTP/1.1 200 OK\r\n",
+        repeated: "X-More: 0123456789\r\n",
+    },
+    EndlessCase {
+        name: "status line",
+        start: "HTTP/1.1 200 ",
+        repeated: "OK OK OK OK OK OK OK",
+    },
+    EndlessCase {
+        name: "other protocol",
+        start: "",
+        repeated: "\x01\x02\x03\x04\x05\x06\x07",
+    },
+    EndlessCase {
+        name: "body until the end of the connection",
+        start: "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Signature: s\r\n\r\n",
+        repeated: "0123456789abcdef",
+    },
+    EndlessCase {
+        name: "body with a length",
+        start: "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Signature: s\r\nContent-Length: 999999999999\r\n\r\n",
+        repeated: "0123456789abcdef",
+    },
+    EndlessCase {
+        name: "chunks",
+        start: "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        repeated: "4\r\nabcd\r\n",
+    },
+    EndlessCase {
+        name: "chunk extensions",
+        start: "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        repeated: "1;x=0123456789012345678901234567890123456789012345678901234567890123456789\r\na\r\n",
+    },
+    EndlessCase {
+        name: "trailers",
+        start: "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        repeated: "X-More: 0123456789\r\n",
+    },
+    EndlessCase {
+        name: "interim responses",
+        start: "",
+        repeated: "HTTP/1.1 102 Processing\r\n\r\n",
+    },
+    EndlessCase {
+        name: "responses to another request",
+        start: "",
+        repeated: "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n",
+    },
+];
+
+/// The client must stop reading, close the connection and release the memory.
+#[tokio::test]
+async fn a_response_without_end_is_cut_off() {
+    for case in ENDLESS_CASES {
+        let target = ScriptedTarget::start(|_| {
+            Reaction::SendEndlessly(case.start.as_bytes(), case.repeated.as_bytes())
+        })
+        .await;
+        let memory = BodyMemory::new(BODY_MEMORY);
+        let client = TargetClient::new(HEADER_NAMES, memory.clone());
+        let request = target_request("first", true);
+        let run = client.run(target.address, &request);
+        let outcome = timeout(OUTCOME_LIMIT, run).await;
+        let outcome = outcome.unwrap_or_else(|_| panic!("{}: read without end", case.name));
+        assert_eq!(outcome_name(&outcome), "lost", "{}", case.name);
+        target.wait_until_closed().await;
+        assert!(
+            target.sent() < SOCKET_BUFFERS,
+            "{}: {} bytes",
+            case.name,
+            target.sent()
+        );
+        assert_eq!(memory.used(), 0, "{}", case.name);
+    }
+}
+
+/// Many endless bodies at once stay within the limit that they share.
+#[tokio::test]
+async fn endless_bodies_share_one_limit() {
+    let case = &ENDLESS_CASES[3];
+    let target = ScriptedTarget::start(|_| {
+        Reaction::SendEndlessly(case.start.as_bytes(), case.repeated.as_bytes())
+    })
+    .await;
+    let memory = BodyMemory::new(BODY_MEMORY);
+    let client = TargetClient::new(HEADER_NAMES, memory.clone());
+    let request = target_request("first", true);
+    let runs = (0..16).map(|_| client.run(target.address, &request));
+    let all = futures_util::future::join_all(runs);
+    let watched = async {
+        loop {
+            assert!(
+                memory.used() <= BODY_MEMORY,
+                "{} bytes are held",
+                memory.used()
+            );
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::select! {
+        outcomes = all => assert!(outcomes.iter().all(|o| outcome_name(o) == "lost")),
+        () = watched => (),
+        () = tokio::time::sleep(OUTCOME_LIMIT) => panic!("no outcome in time"),
+    }
+    assert_eq!(memory.used(), 0);
+}
