Keep non-idempotent requests at a silent node, restart ended tasks, limit slow requests

Cause: (1) a node that was paused for 1.9 s lost all requests that it ran: the sender took the silence for a broken connection and answered 502 for charges whose response came in time. (2) A panic ended a task that follows the store, and the node lived on with an old view. (3) The head timeout of callers began again with each read, so that a caller could hold a connection with a byte now and then.

Change: silence releases only requests that may run again elsewhere; the others wait for their reply while the connection lives and their sender waits. Tasks that end are logged, counted in task_restarts and started again. The head timeout covers the whole head, a request takes 30 s at most.

--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -71,8 +71,8 @@
     /// Maximum size of a request body, in bytes.
     #[serde(rename = "body_bytes")] // serialized name
     pub max_body_bytes: usize,
-    /// Timeout of each read while a request is incomplete. It also applies to the body, and starts
-    /// again with each read, so that it does not limit the total time.
+    /// Longest time from the first byte of a request to the end of its head. It also limits the
+    /// wait for the next bytes of the body.
     #[serde(rename = "head_time")] // serialized name
     pub head_timeout: Duration,
     /// Time without a request after which an idle connection is closed.
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::http1::body::BodyDecoder;
@@ -14,6 +15,9 @@
 use crate::http1::head::MessageError;
 use crate::http1::head::RequestHead;
 
+/// Longest time from the first byte of a request to its last one.
+const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
+
 /// Size limits and timeouts for the requests of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadLimits {
@@ -21,7 +25,8 @@
     pub max_head_bytes: usize,
     /// Size limit of a request body, in bytes.
     pub max_body_bytes: usize,
-    /// Longest wait for the next bytes of a request that has begun, in its head or its body.
+    /// Longest time from the first byte of a request to the end of its head, and longest wait for
+    /// the next bytes of its body.
     pub head_timeout: Duration,
     /// Longest wait for the first byte of a request.
     pub idle_timeout: Duration,
@@ -45,9 +50,9 @@
     /// No request began within the idle timeout.
     #[error("idle")]
     IdleTimeout,
-    /// No further bytes of a request that had begun arrived within the head timeout.
-    #[error("no further bytes of the request within the head timeout")]
-    HeadTimeout,
+    /// A request that had begun did not arrive in time.
+    #[error("request did not arrive in time")]
+    RequestTimeout,
     /// The caller sent bytes that are not a valid request, or a request above a size limit.
     #[error(transparent)]
     Invalid(#[from] MessageError),
@@ -69,6 +74,8 @@
     io: R,
     buf: BytesMut,
     partial: Option<(RequestHead, BodyDecoder)>,
+    /// When the first byte of the current request was seen.
+    begun_at: Option<Instant>,
 }
 
 impl<R> RequestReader<R>
@@ -81,6 +88,7 @@
             io,
             buf: BytesMut::new(),
             partial: None,
+            begun_at: None,
         }
     }
 
@@ -100,7 +108,7 @@
                 return Ok(incoming);
             }
             let (wait, timeout_error) = match self.has_partial_request() {
-                true => (limits.head_timeout, ReadError::HeadTimeout),
+                true => (self.wait_for_rest(limits), ReadError::RequestTimeout),
                 false => (limits.idle_timeout, ReadError::IdleTimeout),
             };
             let read = timeout(wait, self.io.read_buf(&mut self.buf)).await;
@@ -113,6 +121,18 @@
         }
     }
 
+    /// Returns how long to wait for the next bytes of a request that has begun. A caller that sends
+    /// one byte at a time must not hold the connection without end.
+    fn wait_for_rest(&mut self, limits: &ReadLimits) -> Duration {
+        let elapsed = self.begun_at.get_or_insert_with(Instant::now).elapsed();
+        match self.partial {
+            None => limits.head_timeout.saturating_sub(elapsed),
+            Some(_) => limits
+                .head_timeout
+                .min(MAX_REQUEST_TIME.saturating_sub(elapsed)),
+        }
+    }
+
     /// Reads and discards everything until the connection closes, for at most `limit`.
     pub async fn discard_rest(&mut self, limit: Duration) {
         let until_closed = async {
@@ -149,6 +169,7 @@
         if !decoder.decode(&mut self.buf)? {
             return Ok(None);
         }
+        self.begun_at = None;
         let request = self.partial.take().map(|(head, decoder)| Request {
             head,
             body: decoder.into_body(),
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -53,7 +53,7 @@
 }
 
 /// Accepts connections of callers until the task ends. Accepted connections outlive the task.
-pub async fn accept(relay: Arc<Relay>, listener: TcpListener) {
+pub async fn accept(relay: Arc<Relay>, listener: Arc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
@@ -136,8 +136,8 @@
                     Err(ReadError::Closed(_)) => return Ok(()),
                     Err(ReadError::IdleTimeout) if !self.pending.is_empty() => (),
                     Err(ReadError::IdleTimeout) => return self.close().await,
-                    Err(ReadError::HeadTimeout) => {
-                        self.reject(408, "head took too long");
+                    Err(ReadError::RequestTimeout) => {
+                        self.reject(408, "request took too long");
                         last_request_read = true;
                     }
                     Err(ReadError::Invalid(e)) => {
--- a/src/relay/lifecycle.rs
+++ b/src/relay/lifecycle.rs
@@ -14,6 +14,7 @@
 use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::RelayConfig;
+use crate::relay::background;
 use crate::relay::caller_server;
 use crate::relay::pages;
 use crate::relay::peer_server;
@@ -73,21 +74,28 @@
         });
         let ready = ready.await?;
         let metrics = metrics.await?;
+        let peers = Arc::new(peers);
+        let outbound = Arc::new(outbound);
         let mut tasks = vec![
-            tokio::spawn(peer_server::accept(relay.clone(), peers)),
-            tokio::spawn(store_sync::follow_routes(relay.clone())),
-            tokio::spawn(store_sync::follow_targets(relay.clone())),
-            tokio::spawn(store_sync::follow_local_target(relay.clone())),
-            tokio::spawn(relay.admission_queue().clone().drop_late_requests()),
+            background::spawn(&relay, "peer-server", move |relay| {
+                peer_server::accept(relay, peers.clone())
+            }),
+            background::spawn(&relay, "routes", store_sync::follow_routes),
+            background::spawn(&relay, "targets", store_sync::follow_targets),
+            background::spawn(&relay, "local-target", store_sync::follow_local_target),
+            background::spawn(&relay, "queue", |relay| {
+                relay.admission_queue().clone().drop_late_requests()
+            }),
         ];
         for rank in 0..reader_sync::READERS {
-            tasks.push(tokio::spawn(reader_sync::follow_reader(
-                relay.clone(),
-                rank,
-            )));
+            let follow = move |relay| reader_sync::follow_reader(relay, rank);
+            tasks.push(background::spawn(&relay, "reader", follow));
         }
+        let callers = background::spawn(&relay, "caller-server", move |relay| {
+            caller_server::accept(relay, outbound.clone())
+        });
         Ok(RunningRelay {
-            callers: tokio::spawn(caller_server::accept(relay.clone(), outbound)),
+            callers,
             relay,
             ready,
             metrics,
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -35,6 +35,7 @@
     queue_time: HistogramVec,
     store_calls: IntCounterVec,
     caller_connections: IntCounter,
+    task_restarts: IntCounterVec,
     in_progress: IntGauge,
     state: IntGaugeVec,
 }
@@ -95,6 +96,12 @@
                 &["result"],
             ),
             caller_connections: counter(r, "callers", "Accepted connections of callers"),
+            task_restarts: counter_vec(
+                r,
+                "task_restarts",
+                "Background tasks that ended unexpectedly and were started again",
+                &["task"],
+            ),
             in_progress: gauge(r, "in_progress", "Requests of callers in progress"),
             state: gauge_vec(r, "state", "State of the node", &["what"]),
             registry,
@@ -146,6 +153,16 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a background task that was started again.
+    pub fn record_task_restart(&self, task: &str) {
+        self.task_restarts.with_label_values(&[task]).inc();
+    }
+
+    /// Returns how often background tasks were started again.
+    pub fn task_restarts(&self, task: &str) -> u64 {
+        self.task_restarts.with_label_values(&[task]).get()
+    }
+
     /// Counts an accepted connection of a caller.
     pub fn record_caller_connection(&self) {
         self.caller_connections.inc();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission_queue;
 mod attempt;
+pub mod background;
 pub mod body_memory;
 pub mod call;
 pub mod caller_server;
--- a/src/relay/peer_client.rs
+++ b/src/relay/peer_client.rs
@@ -14,10 +14,12 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
 
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::protocol::frame;
 use crate::protocol::frame::Frame;
 use crate::protocol::frame::LoadReport;
 use crate::protocol::frame::RunOutcome;
@@ -28,6 +30,7 @@
 use crate::protocol::sync::SyncReply;
 use crate::relay::peer_connection::Command;
 use crate::relay::peer_connection::PeerConnection;
+use crate::relay::peer_connection::PeerFrames;
 use crate::relay::socket;
 
 /// Timeout of a connection attempt to another node.
@@ -250,18 +253,23 @@
             .unwrap_or_else(|p| p.into_inner())
             .remove(&address);
         log::debug!(peer:% = address; "connected to node");
-        let (rd, wr) = stream.into_split();
+        let (rd, mut wr) = stream.into_split();
+        let mut frames = FramedRead::new(rd, frame::codec());
         let mut connection = PeerConnection::default();
         let end = connection
-            .run(self.incarnation, rd, wr, &mut commands)
+            .run(self.incarnation, &mut frames, &mut wr, &mut commands)
             .await;
         let pending = connection.pending_requests();
-        connection.fail_pending();
+        match &end {
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => connection.fail_repeatable(),
+            _ => connection.fail_pending(),
+        }
         reject_queued(commands);
         if let Err(e) = end {
             log::info!(peer:% = address, error:% = e, owed = pending; "connection to node broke");
             self.mark_unreachable(address);
-            self.reconnect(address).await;
+            let last_replies = receive_last_replies(connection, frames, address);
+            tokio::join!(self.reconnect(address), last_replies);
         }
     }
 
@@ -297,6 +305,20 @@
     }
 }
 
+/// Receives the replies to the requests that must not run again from a node that has been silent.
+/// If none arrives, the outcome of the requests is unknown.
+async fn receive_last_replies(
+    mut connection: PeerConnection,
+    mut frames: PeerFrames,
+    address: SocketAddr,
+) {
+    if let Err(e) = connection.await_last_replies(&mut frames).await {
+        let pending = connection.pending_requests();
+        log::info!(peer:% = address, error:% = e, owed = pending; "silent connection to node broke");
+    }
+    connection.fail_pending();
+}
+
 /// Rejects the commands that were still queued when the connection ended. They were not sent.
 fn reject_queued(mut commands: mpsc::Receiver<Command>) {
     commands.close();
--- a/src/relay/peer_connection.rs
+++ b/src/relay/peer_connection.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
+use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::error::UnknownKind;
 use crate::protocol::frame;
@@ -32,6 +33,10 @@
 /// Time without a message, while a reply is pending, after which the connection counts as broken.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time between two checks whether the senders of the last requests of a silent connection still
+/// wait.
+const ABANDONED_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Idle time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -52,10 +57,19 @@
     Send(Frame),
 }
 
+/// Messages that arrive on a connection.
+pub(super) type PeerFrames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
+/// A request that was sent and has no reply yet.
+struct PendingRun {
+    idempotent: bool,
+    tx: oneshot::Sender<Reply>,
+}
+
 /// Pending requests and reads of an open connection.
 #[derive(Default)]
 pub(super) struct PeerConnection {
-    pending_runs: HashMap<u32, oneshot::Sender<Reply>>,
+    pending_runs: HashMap<u32, PendingRun>,
     pending_reads: HashMap<u32, oneshot::Sender<Option<QueryResult>>>,
     pending_syncs: HashMap<u32, oneshot::Sender<SyncReply>>,
     last_read_number: u32,
@@ -72,11 +86,10 @@
     pub(super) async fn run(
         &mut self,
         incarnation: u64,
-        rd: OwnedReadHalf,
-        mut wr: OwnedWriteHalf,
+        frames: &mut PeerFrames,
+        wr: &mut OwnedWriteHalf,
         commands: &mut mpsc::Receiver<Command>,
     ) -> io::Result<()> {
-        let mut frames = FramedRead::new(rd, frame::codec());
         let mut out = BytesMut::new();
         frame::append_or_log(
             &mut out,
@@ -144,7 +157,9 @@
                 if tx.is_closed() {
                     return;
                 }
-                self.pending_runs.insert(req.number, tx);
+                let idempotent = req.idempotent;
+                self.pending_runs
+                    .insert(req.number, PendingRun { idempotent, tx });
                 frame::append_or_log(out, &Frame::Run(req));
             }
             Command::Read(query, tx) => {
@@ -179,10 +194,10 @@
                 outcome,
                 load,
             } => {
-                if let Some(tx) = self.pending_runs.remove(&number) {
+                if let Some(run) = self.pending_runs.remove(&number) {
                     let load = Some(load);
                     // A send fails only if the receiver of the reply was dropped.
-                    drop(tx.send(Reply { outcome, load }));
+                    drop(run.tx.send(Reply { outcome, load }));
                 }
             }
             Frame::ReadReply { number, result } => {
@@ -202,12 +217,40 @@
 
     /// Fails all pending requests and reads. Requests that were sent may have run.
     pub(super) fn fail_pending(&mut self) {
-        for (_, tx) in self.pending_runs.drain() {
-            drop(tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
+        for (_, run) in self.pending_runs.drain() {
+            drop(run.tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
+        }
+        self.pending_reads.clear();
+        self.pending_syncs.clear();
+    }
+
+    /// Fails the pending requests that may run again elsewhere, and all reads.
+    pub(super) fn fail_repeatable(&mut self) {
+        let repeatable = self.pending_runs.extract_if(|_, run| run.idempotent);
+        for (_, run) in repeatable {
+            drop(run.tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
         }
         self.pending_reads.clear();
         self.pending_syncs.clear();
     }
+
+    /// Waits for the replies to requests that must not run again, after the other node has been
+    /// silent. It may only be paused. Ends when all have a reply or their senders have given up, or
+    /// the connection ends.
+    pub(super) async fn await_last_replies(&mut self, frames: &mut PeerFrames) -> io::Result<()> {
+        while !self.pending_runs.is_empty() {
+            tokio::select! {
+                frame = frames.next() => {
+                    let bytes = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
+                    self.handle_frame(&bytes)?;
+                }
+                () = tokio::time::sleep(ABANDONED_CHECK_PERIOD) => {
+                    self.pending_runs.retain(|_, run| !run.tx.is_closed());
+                }
+            }
+        }
+        Ok(())
+    }
 }
 
 /// What to do once the idle limit has passed.
--- a/src/relay/peer_server.rs
+++ b/src/relay/peer_server.rs
@@ -41,7 +41,7 @@
 type RunningRequests = Arc<Mutex<HashMap<u32, AbortHandle>>>;
 
 /// Accepts connections of other nodes. They are closed when the task ends.
-pub async fn accept(relay: Arc<Relay>, listener: TcpListener) {
+pub async fn accept(relay: Arc<Relay>, listener: Arc<TcpListener>) {
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,6 +8,8 @@
 
 #[path = "relays/at_most_once.rs"]
 mod at_most_once;
+#[path = "relays/background.rs"]
+mod background;
 #[path = "relays/draining.rs"]
 mod draining;
 #[path = "relays/store_calls.rs"]
--- /dev/null
+++ b/tests/silent_node.rs
@@ -0,0 +1,111 @@
+//! Requests at a node that is silent for a while, as it is while its process is paused.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dragonflylead::error::UnknownKind;
+use dragonflylead::instance::InstanceName;
+use dragonflylead::protocol::frame;
+use dragonflylead::protocol::frame::Frame;
+use dragonflylead::protocol::frame::LoadReport;
+use dragonflylead::protocol::frame::RunOutcome;
+use dragonflylead::protocol::frame::RunRequest;
+use dragonflylead::relay::peer_client::PeerClient;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// Time for which the node does not reply, longer than the sender waits for a sign of life.
+const SILENCE: Duration = Duration::from_millis(2_600);
+
+fn run_request(idempotent: bool) -> RunRequest {
+    RunRequest {
+        number: 0,
+        target: InstanceName::new("i-1"),
+        route: "r".to_owned(),
+        config_version: 1,
+        remaining_ms: 5_000,
+        priority: 0,
+        idempotent,
+        is_root: true,
+        id: "1".to_owned(),
+        caller_service: "a".to_owned(),
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        host: "h".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    }
+}
+
+fn completed() -> RunOutcome {
+    RunOutcome::Completed {
+        status: 200,
+        signature: Some("s".to_owned()),
+        headers: Vec::new(),
+        body: b"ok".to_vec(),
+    }
+}
+
+/// Starts a node that replies to each request after [`SILENCE`] and to nothing else.
+async fn start_silent_node() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(serve(stream));
+        }
+    });
+    address
+}
+
+async fn serve(stream: TcpStream) -> io::Result<()> {
+    let mut frames = Framed::new(stream, frame::codec());
+    while let Some(bytes) = frames.next().await {
+        if let Ok(Frame::Run(req)) = frame::decode(&bytes?) {
+            tokio::time::sleep(SILENCE).await;
+            let reply = Frame::Reply {
+                number: req.number,
+                outcome: completed(),
+                load: LoadReport::default(),
+            };
+            frames.send(frame::encode(&reply).unwrap()).await?;
+        }
+    }
+    Ok(())
+}
+
+struct Case {
+    name: &'static str,
+    idempotent: bool,
+    outcome: RunOutcome,
+}
+
+/// A silent node may only be paused. What it runs must not be given up if it cannot run again
+/// elsewhere. A request that can is released, so that another instance may serve it in time.
+#[tokio::test]
+async fn only_requests_that_may_run_again_are_released_by_silence() {
+    let cases = [
+        Case {
+            name: "non-idempotent",
+            idempotent: false,
+            outcome: completed(),
+        },
+        Case {
+            name: "idempotent",
+            idempotent: true,
+            outcome: RunOutcome::Unknown(UnknownKind::ConnectionLost),
+        },
+    ];
+    for case in cases {
+        let address = start_silent_node().await;
+        let client = Arc::new(PeerClient::new("127.0.0.1".parse().unwrap(), 1));
+        let reply = client.run(address, run_request(case.idempotent)).await;
+        assert_eq!(reply.outcome, case.outcome, "{}", case.name);
+    }
+}
