Serve requests through a restart of many targets, and use the retry slack

The nodes read their list once in that second; it still showed the targets of before, which answered 421. Each of these answers counted as an attempt, the retry budget of a restarted node is empty, so the request was refused, and its caller came back too early. The retry budget of each node was rounded down, and its slack not used: a node with four requests to a service in the window had no retry at all.

Change: a target that answers as another instance makes its node read the list each 0.2 s until it shows the new instance, and is not asked meanwhile. A node runs a request for an earlier instance of its own service at the present one. A request that found no instance is held for up to half of its latency objective. Half of the fleet's retry slack is divided among the nodes.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,6 +20,7 @@
 pub mod fanout;
 pub mod gate;
 pub mod gossip;
+pub mod hold;
 pub mod join;
 pub mod level;
 pub mod level_view;
--- a/src/coordination/retry_budget.rs
+++ b/src/coordination/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! The limit holds for the fleet as a whole without coordination. Each node's retries are limited
 //! to a share of the requests that it sent itself, so for any distribution of traffic the total of
-//! retries stays below the same share of the total of requests.
+//! retries stays below the same share of the total of requests. A fixed slack, divided by the number
+//! of nodes, lets nodes with few requests retry, whose share would otherwise be rounded down to none.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,10 +14,17 @@
 /// Number of slices of the sliding window.
 const SLICES: usize = 10;
 
+/// Part of the slack that the nodes use together. The rest covers nodes whose list is incomplete.
+const USED_SLACK: f64 = 0.5;
+
 /// Limits the retries to each service to a share of the requests in a sliding window.
 #[derive(Debug)]
 pub struct RetryBudget {
     share: f64,
+    /// Retries of the whole fleet beyond `share`.
+    fleet_slack: f64,
+    /// Part of `fleet_slack` that this node uses.
+    slack: f64,
     slice_duration: Duration,
     services: HashMap<ServiceName, Counts>,
 }
@@ -31,15 +39,27 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget of `share` retries per request over the last `window`.
-    pub fn new(share: f64, window: Duration) -> RetryBudget {
+    /// Creates a budget of `share` retries per request over the last `window`. The nodes of the
+    /// fleet share `fleet_slack` further retries to each service, once
+    /// [`RetryBudget::set_nodes`] has given their number.
+    pub fn new(share: f64, fleet_slack: f64, window: Duration) -> RetryBudget {
         RetryBudget {
             share,
+            fleet_slack,
+            slack: 0.0,
             slice_duration: window / SLICES as u32,
             services: HashMap::new(),
         }
     }
 
+    /// Sets the number of nodes that share the slack.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.slack = match nodes {
+            0 => 0.0,
+            nodes => self.fleet_slack * USED_SLACK / nodes as f64,
+        };
+    }
+
     /// Counts a request that is sent to a service for the first time.
     pub fn record_request(&mut self, service: &ServiceName, now: Time) {
         let (counts, index) = self.counts(service, now);
@@ -49,10 +69,11 @@
     /// Takes one retry from the budget and returns whether there was one.
     pub fn take(&mut self, service: &ServiceName, now: Time) -> bool {
         let share = self.share;
+        let slack = self.slack;
         let (counts, index) = self.counts(service, now);
         let requests: u32 = counts.requests.iter().sum();
         let retries: u32 = counts.retries.iter().sum();
-        let allowed = f64::from(retries + 1) <= f64::from(requests) * share;
+        let allowed = f64::from(retries + 1) <= f64::from(requests) * share + slack;
         if allowed {
             counts.retries[index] += 1;
         }
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -33,8 +33,11 @@
 pub struct RunRequest {
     /// Number of the request, unique on the connection.
     pub number: u32,
-    /// Instance that is to run the request; a node of any other instance refuses it.
+    /// Instance that is to run the request.
     pub target: InstanceName,
+    /// Service of that instance. A node whose target has been replaced by another instance of the
+    /// service runs the request there; a node of another service refuses it.
+    pub service: String,
     /// Name of the route that the sender matched.
     pub route: String,
     /// Version of the configuration that the sender applies.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -10,6 +10,8 @@
 
 use crate::call::Priority;
 use crate::clock::Time;
+use crate::coordination::hold;
+use crate::coordination::hold::HOLD_PAUSE;
 use crate::coordination::retry_after;
 use crate::coordination::route;
 use crate::coordination::route::Route;
@@ -74,6 +76,10 @@
     let caller_timeout = caller_timeout
         .and_then(|text| text.parse().ok())
         .map(Duration::from_millis);
+    if !relay.has_routes() {
+        let max_time = hold::max_wait_for_routes(caller_timeout.unwrap_or_default());
+        relay.wait_for_routes(max_time).await;
+    }
     let Some(table) = relay.view().routes.clone() else {
         let wait = retry_after::not_ready(caller_timeout.unwrap_or_default());
         log::info!(request:% = id, kind:% = NotRunKind::NotReady; "refused");
@@ -204,14 +210,32 @@
     /// The error of the last attempt, or an unknown outcome if any attempt had one. It is returned
     /// once the instances, the retries or the time are used up, or the request must not run again.
     async fn dispatch(&self) -> Result<CallerResponse, ErrorKind> {
-        let mut tried: Vec<InstanceName> = Vec::new();
-        let mut counted_attempts = 0;
-        let mut last_error = ErrorKind::NotRun(NotRunKind::NoInstance);
         let now = self.relay.now();
         self.relay
             .coordination()
             .retry_budget
             .record_request(&self.service, now);
+        loop {
+            match self.try_instances().await {
+                Err(ErrorKind::NotRun(kind)) if self.may_hold(kind) => {
+                    tokio::time::sleep(HOLD_PAUSE).await;
+                }
+                result => return result,
+            }
+        }
+    }
+
+    /// Returns whether a request for which no instance was available is held and tried again.
+    fn may_hold(&self, kind: NotRunKind) -> bool {
+        let held_for = self.relay.now().since(self.arrived);
+        hold::may_hold(kind, held_for, self.route.objective)
+    }
+
+    /// Sends the request to one instance after another, as [`Call::dispatch`] says.
+    async fn try_instances(&self) -> Result<CallerResponse, ErrorKind> {
+        let mut tried: Vec<InstanceName> = Vec::new();
+        let mut counted_attempts = 0;
+        let mut last_error = ErrorKind::NotRun(NotRunKind::NoInstance);
         while tried.len() < MAX_INSTANCES_TRIED {
             if self.deadline.since(self.relay.now()) < MIN_REMAINING {
                 return Err(last_error);
@@ -366,6 +390,7 @@
         RunRequest {
             number: 0,
             target: pick.instance.name.clone(),
+            service: self.service.to_string(),
             route: self.route.name.to_string(),
             config_version: self.relay.config_version(),
             remaining_ms: self.deadline.since(now).as_millis() as u32,
--- a/src/relay/local_target.rs
+++ b/src/relay/local_target.rs
@@ -15,6 +15,13 @@
 /// Time after a failed connection to the local target during which no other is attempted.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(150);
 
+/// Time after an answer of another instance during which no request is sent to the local target
+/// under its old name.
+const MISDIRECTED_FOR: Duration = Duration::from_millis(1_000);
+
+/// Time for which the list is read more often after the local target was restarted.
+const MAX_OUTDATED: Duration = Duration::from_millis(3_000);
+
 /// Shortest time between two reads of the local target's entry that are triggered by a response
 /// that closes the connection.
 const DRAINING_HINT_PERIOD: Duration = Duration::from_millis(400);
@@ -35,6 +42,10 @@
             // The node is stopping, not its target, so that `Draining` would be wrong.
             return Err(NotRunKind::NotReady);
         }
+        if view.local_removed && self.is_list_outdated() {
+            // The entry of the restarted target has another name and is about to be listed.
+            return Err(NotRunKind::TargetUnreachable);
+        }
         if view.local_draining || view.local_removed {
             return Err(NotRunKind::Draining);
         }
@@ -48,6 +59,14 @@
         }
     }
 
+    /// Returns the name of the local target if it has taken the place of the instance `name` of
+    /// `service`, whose restart the sender has not learned of yet.
+    pub fn replacement_of(&self, name: &InstanceName, service: &str) -> Option<InstanceName> {
+        let local = self.local_target()?.instance;
+        let replaced = local.name != *name && local.service.as_str() == service;
+        replaced.then_some(local.name)
+    }
+
     /// Records that no connection to the local target could be made. If it was `refused`, the
     /// target crashed, and the requests that it was running are reported to the other nodes.
     pub fn record_target_unreachable(&self, name: &InstanceName, refused: bool) {
@@ -64,6 +83,42 @@
         }
     }
 
+    /// Lets requests be sent to the local target at once.
+    pub fn clear_unreachable(&self) {
+        *self
+            .unreachable_until
+            .lock()
+            .unwrap_or_else(|p| p.into_inner()) = None;
+    }
+
+    /// Records that the local target answered as another instance than the listed one: it has been
+    /// restarted, and the list is behind. The list is read again until it shows the new instance.
+    pub fn record_target_misdirected(&self, name: &InstanceName) {
+        let now = self.now();
+        let until = now.plus(MISDIRECTED_FOR);
+        *self
+            .unreachable_until
+            .lock()
+            .unwrap_or_else(|p| p.into_inner()) = Some(until);
+        *self.misdirected.lock().unwrap_or_else(|p| p.into_inner()) = Some((name.clone(), now));
+        log::info!(target:% = name; "local target has been restarted as another instance");
+        self.list_outdated.notify_one();
+    }
+
+    /// Returns whether the list has not shown the present local target yet, for at most
+    /// `MAX_OUTDATED`.
+    pub fn is_list_outdated(&self) -> bool {
+        let misdirected = self.misdirected.lock().unwrap_or_else(|p| p.into_inner());
+        misdirected.as_ref().is_some_and(|(name, at)| {
+            self.view().local_name() == Some(name) && self.now().since(*at) < MAX_OUTDATED
+        })
+    }
+
+    /// Waits until the local target answers as another instance than the listed one.
+    pub async fn wait_for_outdated_list(&self) {
+        self.list_outdated.notified().await;
+    }
+
     /// Tells the other nodes which requests the local target was running when it crashed.
     fn report_crash(&self, name: &InstanceName, now: Time) {
         let reports = {
@@ -113,10 +168,7 @@
     /// Records a response of the local target. If it closes the connection, the target may be
     /// draining: its entry is read again, at most once per `DRAINING_HINT_PERIOD`.
     pub fn record_target_response(&self, closes: bool) {
-        *self
-            .unreachable_until
-            .lock()
-            .unwrap_or_else(|p| p.into_inner()) = None;
+        self.clear_unreachable();
         if !closes || self.view().local_draining || self.view().local_removed {
             return;
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -108,6 +108,8 @@
     pub grace: Duration,
     /// Retries that the fleet may send per request of a service.
     pub retry_ratio: f64,
+    /// Retries that the fleet may send to a service beyond `retry_ratio`.
+    pub retry_slack: f64,
     /// Sliding window over which `retry_ratio` is measured.
     pub retry_window: Duration,
     /// Limit on the bytes of bodies that are buffered at once. A change takes effect at a restart.
@@ -153,6 +155,10 @@
     target_client: TargetClient,
     body_memory: BodyMemory,
     unreachable_until: Mutex<Option<Time>>,
+    /// Name by which the local target was addressed when it answered as another instance, and when.
+    misdirected: Mutex<Option<(InstanceName, Time)>>,
+    /// Notified when the list does not show the present local target.
+    list_outdated: Notify,
     last_draining_hint: Mutex<Option<Time>>,
     connected_peers: Mutex<Vec<IpAddr>>,
     peer_client: Arc<PeerClient>,
@@ -206,7 +212,7 @@
         let coordination = CoordinationState {
             router: Router::new(local_node, routing_config(), now),
             split: TrafficSplit::new(rng.next_u64()),
-            retry_budget: RetryBudget::new(cfg.retry_ratio, cfg.retry_window),
+            retry_budget: RetryBudget::new(cfg.retry_ratio, cfg.retry_slack, cfg.retry_window),
             downstream_ratios: DownstreamRatios::default(),
             root_admission: RootAdmission::default(),
             origins: RequestOrigins::default(),
@@ -227,6 +233,8 @@
             target_client: TargetClient::new(header_names, body_memory.clone()),
             body_memory,
             unreachable_until: Mutex::default(),
+            misdirected: Mutex::default(),
+            list_outdated: Notify::new(),
             last_draining_hint: Mutex::default(),
             connected_peers: Mutex::default(),
             peer_client: Arc::new(PeerClient::new(local_ip, incarnation)),
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -32,13 +32,19 @@
 /// Delay of an accept loop after a failed accept.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// HTTP status of a target that is another instance than the addressed one.
+const MISDIRECTED: u16 = 421;
+
 /// Time that must be left to the deadline for a request to be sent to the target.
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 
 /// Runs a request at the local target. Dropping the future aborts an idempotent run. Any other run
 /// continues to its end, because its outcome would be unknown if it were aborted.
-pub async fn run_locally(relay: &Arc<Relay>, req: RunRequest, arrived: Time) -> RunOutcome {
+pub async fn run_locally(relay: &Arc<Relay>, mut req: RunRequest, arrived: Time) -> RunOutcome {
     relay.handle_peer_version(req.config_version);
+    if let Some(name) = relay.replacement_of(&req.target, &req.service) {
+        req.target = name;
+    }
     let deadline = arrived.plus(Duration::from_millis(u64::from(req.remaining_ms)));
     let admitted = match admit(relay, &req, deadline).await {
         Ok(admitted) => admitted,
@@ -192,6 +198,9 @@
         TargetOutcome::Refused(response) => {
             admitted.permit.set_result(RunResult::Failed);
             relay.record_target_response(response.closes);
+            if response.status == MISDIRECTED {
+                relay.record_target_misdirected(target);
+            }
             RunOutcome::NotRun {
                 kind: NotRunKind::TargetRefused,
                 refused_by_target: true,
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -334,18 +334,27 @@
 pub async fn follow_targets(relay: Arc<Relay>) {
     let mut backoff = Backoff::new();
     loop {
-        relay.wait_while_following().await;
+        if !relay.is_list_outdated() {
+            tokio::select! {
+                () = relay.wait_while_following() => (),
+                () = relay.wait_for_outdated_list() => (),
+            }
+        }
         match read(&relay, Query::Targets).await {
             Ok(result) => {
                 backoff = Backoff::new();
                 if let Content::Targets(list) = result.content {
                     relay.apply_targets(list, result.revision);
                 }
-                let period = match relay.local_target().is_some() {
+                let is_listed = relay.local_target().is_some() && !relay.is_list_outdated();
+                let period = match is_listed {
                     true => LIST_PERIOD,
                     false => UNLISTED_LIST_PERIOD,
                 };
-                tokio::time::sleep(period).await;
+                tokio::select! {
+                    () = tokio::time::sleep(period) => (),
+                    () = relay.wait_for_outdated_list(), if is_listed => (),
+                }
             }
             Err(e) => {
                 log::info!(dependency = "store", what = "targets", error:% = e; "could not read from the store");
--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -57,6 +57,18 @@
             .retain(|name| known.contains(name));
     }
 
+    /// Waits until there is a configuration, for at most `max_time`.
+    pub async fn wait_for_routes(&self, max_time: Duration) {
+        let until = tokio::time::Instant::now() + max_time;
+        while !self.has_routes() {
+            let changed = self.view_changed.notified();
+            tokio::select! {
+                () = changed => (),
+                () = tokio::time::sleep_until(until) => return,
+            }
+        }
+    }
+
     /// Returns the version of the configuration in force, or 0 if there is none.
     pub fn config_version(&self) -> u64 {
         self.view().routes.as_ref().map_or(0, |table| table.version)
@@ -119,7 +131,11 @@
             return;
         }
         log::info!(revision = revision, targets = instances.len(); "list of targets changed");
-        self.coordination().router.sync(&instances, now);
+        {
+            let mut coordination = self.coordination();
+            coordination.router.sync(&instances, now);
+            coordination.retry_budget.set_nodes(instances.len());
+        }
         if starts_draining {
             log::info!(revision = revision; "local target is draining according to the list");
         }
@@ -169,6 +185,10 @@
         };
         *view = Arc::new(next);
         drop(view);
+        if removed {
+            // Another target may be listed at the address.
+            self.list_outdated.notify_one();
+        }
         log::info!(
             target:% = name, revision = revision, leaving = draining, gone = removed;
             "state of local target changed"
@@ -194,6 +214,7 @@
     fn adopt_local_target(&self) {
         let local = self.local_target();
         self.target_client.clear_idle();
+        self.clear_unreachable();
         if let Some(local) = &local {
             self.admission_queue.set_slots(local.slots);
             log::info!(
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -157,7 +157,7 @@
     // Traffic moves between nodes, as when callers change zones or nodes restart.
     let service = ServiceName::new("s");
     let mut nodes: Vec<RetryBudget> = (0..16)
-        .map(|_| RetryBudget::new(0.1, Duration::from_secs(10)))
+        .map(|_| RetryBudget::new(0.1, 0.0, Duration::from_secs(10)))
         .collect();
     let mut rng = ChaCha12Rng::seed_from_u64(7);
     let mut sends: Vec<(u64, bool)> = Vec::new();
@@ -168,7 +168,7 @@
             _ => busy,
         };
         if ms % 20_000 == 0 {
-            nodes[node] = RetryBudget::new(0.1, Duration::from_secs(10));
+            nodes[node] = RetryBudget::new(0.1, 0.0, Duration::from_secs(10));
         }
         nodes[node].record_request(&service, at(ms));
         sends.push((ms, false));
@@ -199,7 +199,7 @@
 
 #[test]
 fn a_node_without_recent_requests_sends_no_retries() {
-    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
+    let mut budget = RetryBudget::new(0.2, 0.0, Duration::from_secs(10));
     let service = ServiceName::new("s");
     assert!(!budget.take(&service, at(1)));
     (0..5).for_each(|_| budget.record_request(&service, at(2)));
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -19,6 +19,7 @@
     Frame::Run(Box::new(RunRequest {
         number: 70_000,
         target: InstanceName::new("i-7f3a91c2"),
+        service: "huvo11a".to_owned(),
         route: "r-89anu6w".to_owned(),
         config_version: 12,
         remaining_ms: 4_990,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -12,6 +12,8 @@
 mod background;
 #[path = "relays/draining.rs"]
 mod draining;
+#[path = "relays/restart.rs"]
+mod restart;
 #[path = "relays/store_calls.rs"]
 mod store_calls;
 #[path = "relays/view.rs"]
--- a/tests/silent_node.rs
+++ b/tests/silent_node.rs
@@ -26,6 +26,7 @@
     RunRequest {
         number: 0,
         target: InstanceName::new("i-1"),
+        service: "a".to_owned(),
         route: "r".to_owned(),
         config_version: 1,
         remaining_ms: 5_000,
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -43,6 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct PlainTarget {
     pub(crate) address: SocketAddr,
+    name: Arc<Mutex<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
     silenced_at: Arc<Mutex<Option<Instant>>>,
     task: JoinHandle<()>,
@@ -57,13 +58,14 @@
         let recorded = runs.clone();
         let silenced_at: Arc<Mutex<Option<Instant>>> = Arc::default();
         let silence_time = silenced_at.clone();
-        let name = name.to_owned();
+        let name = Arc::new(Mutex::new(name.to_owned()));
+        let shared_name = name.clone();
         let task = tokio::spawn(async move {
             let mut served = tokio::task::JoinSet::new();
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 let (name, recorded, silence_time) =
-                    (name.clone(), recorded.clone(), silence_time.clone());
+                    (shared_name.clone(), recorded.clone(), silence_time.clone());
                 let opened = Instant::now();
                 served.spawn(async move {
                     let serving = serve(stream, name, recorded);
@@ -79,12 +81,18 @@
         });
         PlainTarget {
             address,
+            name,
             runs,
             silenced_at,
             task,
         }
     }
 
+    /// Makes the target answer as another instance from now on, as after a restart.
+    pub(crate) fn rename(&self, name: &str) {
+        name.clone_into(&mut self.name.lock().unwrap());
+    }
+
     /// Makes the target ignore all open connections from now on. New connections work.
     pub(crate) fn silence_open_connections(&self) {
         *self.silenced_at.lock().unwrap() = Some(Instant::now());
@@ -122,9 +130,10 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, name: String, runs: Arc<Mutex<Vec<Run>>>) {
+async fn serve(mut stream: TcpStream, name: Arc<Mutex<String>>, runs: Arc<Mutex<Vec<Run>>>) {
     let mut buf = BytesMut::new();
     while let Some((head, body)) = read(&mut stream, &mut buf).await {
+        let name = name.lock().unwrap().clone();
         let addressed = head
             .header(HEADER_NAMES.target_instance)
             .unwrap_or_default()
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -320,6 +320,7 @@
         metrics: address(metrics),
         grace: Duration::from_secs(6),
         retry_ratio: 1.0,
+        retry_slack: 0.0,
         retry_window: Duration::from_secs(10),
         body_memory: 1 << 26,
     }
