Keep a target whose address another program's entry claims; test planned stops under load

Cause: of two entries with one address the newer was kept, so that an entry of a service that nothing calls took the place of a target in use. Change: an entry of a service that a route leads to goes before any other. A test sends requests, three at a time on each of many connections, around a planned stop; no fault was found there. Measured: tests/relays/view.rs, failing before; tests/relays/stop_under_load.rs.

--- a/src/relay/store_view.rs
+++ b/src/relay/store_view.rs
@@ -138,7 +138,8 @@
             self.missing_since.remove(&listed.instance.name);
             targets.push(listed);
         }
-        let occupied = retain_newest_per_address(&mut targets);
+        let used: HashSet<&ServiceName> = self.used_services();
+        let occupied = retain_newest_per_address(&mut targets, |service| used.contains(service));
         for (name, old) in known {
             let since = *self.missing_since.entry(name.clone()).or_insert(now);
             let replaced = occupied.contains(&old.instance.ingress);
@@ -155,6 +156,13 @@
         self.update_local_target(local_address);
     }
 
+    /// Returns the services that any route leads to.
+    fn used_services(&self) -> HashSet<&ServiceName> {
+        let routes = self.routes.iter().flat_map(|table| table.routes());
+        let weighted = routes.flat_map(|route| &route.weighted_services);
+        weighted.map(|weighted| &weighted.service).collect()
+    }
+
     /// Takes the newest of the targets at the local address as the local target, because the older
     /// ones no longer listen there.
     fn update_local_target(&mut self, address: SocketAddr) {
@@ -177,15 +185,20 @@
 }
 
 /// Keeps only the newest target at each address. The entries of the older ones have not expired
-/// yet. Returns the addresses.
-fn retain_newest_per_address(targets: &mut Vec<TargetEntry>) -> HashSet<SocketAddr> {
-    let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+/// yet. An entry of a service that no route leads to may be another program's, so that it gives way
+/// to one of a service in use. Returns the addresses.
+fn retain_newest_per_address<F>(targets: &mut Vec<TargetEntry>, is_used: F) -> HashSet<SocketAddr>
+where
+    F: Fn(&ServiceName) -> bool,
+{
+    let rank = |t: &TargetEntry| (is_used(&t.instance.service), t.start_time_ms);
+    let mut highest: HashMap<SocketAddr, (bool, u64)> = HashMap::new();
     for target in targets.iter() {
-        let start_time = newest.entry(target.instance.ingress).or_default();
-        *start_time = target.start_time_ms.max(*start_time);
+        let known = highest.entry(target.instance.ingress).or_default();
+        *known = rank(target).max(*known);
     }
-    targets.retain(|t| newest.get(&t.instance.ingress) == Some(&t.start_time_ms));
-    newest.into_keys().collect()
+    targets.retain(|t| highest.get(&t.instance.ingress) == Some(&rank(t)));
+    highest.into_keys().collect()
 }
 
 /// Keeps a target marked as draining if a stale list shows it in an earlier state.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,6 +14,8 @@
 mod draining;
 #[path = "relays/restart.rs"]
 mod restart;
+#[path = "relays/stop_under_load.rs"]
+mod stop_under_load;
 #[path = "relays/store_calls.rs"]
 mod store_calls;
 #[path = "relays/view.rs"]
--- a/tests/relays/view.rs
+++ b/tests/relays/view.rs
@@ -28,6 +28,33 @@
     fleet.store.serve_all_nodes();
 }
 
+/// Another program's entry at the address of a target, newer than the target's own one.
+#[tokio::test]
+async fn an_entry_of_an_unknown_service_does_not_replace_a_target() {
+    let fleet = RelayFleet::start(46, &["a", "b"]).await;
+    fleet.store.change(|targets| {
+        let mut odd = targets[1].clone();
+        odd.instance.name = "odd".into();
+        odd.instance.service = "nobody-calls-it".into();
+        odd.start_time_ms += 1_000;
+        targets.push(odd);
+    });
+    let relay = fleet.members[0].node.relay();
+    let revision = relay.view().list_revision;
+    fleet
+        .wait_until(|_| relay.view().list_revision > revision)
+        .await;
+    let names: Vec<String> = relay
+        .view()
+        .targets
+        .iter()
+        .map(|target| target.instance.name.to_string())
+        .collect();
+    assert_eq!(names, ["a-0", "b-1"]);
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    assert_eq!(caller.call("POST", "/b-once/", "1", b"").await.status, 200);
+}
+
 #[tokio::test]
 async fn an_older_configuration_is_never_applied() {
     let fleet = RelayFleet::start(10, &["a"]).await;
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -402,12 +402,22 @@
 impl Caller {
     /// Connects to a node.
     pub(crate) async fn connect(address: SocketAddr) -> Caller {
+        Caller::new(TcpStream::connect(address).await.unwrap())
+    }
+
+    /// Uses an open connection.
+    pub(crate) fn new(stream: TcpStream) -> Caller {
         Caller {
-            stream: TcpStream::connect(address).await.unwrap(),
+            stream,
             buf: Vec::new(),
         }
     }
 
+    /// Sends raw bytes, which fails if the node has closed the connection.
+    pub(crate) async fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
     /// Sends raw bytes.
     pub(crate) async fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).await.unwrap();
