--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -255,6 +255,7 @@
     loop {
         if relay.has_routes() && starting && !relay.is_reader() {
             relay.wait_for_reader(READER_WAIT).await;
+            // A change during the wait must not depend on the first watch.
             revision = None;
         }
         starting &= !relay.has_routes();
@@ -373,6 +374,7 @@
 pub async fn follow_local_target(relay: Arc<Relay>) {
     let mut backoff = Backoff::new();
     let mut watched: Option<(InstanceName, u64)> = None;
+    let mut adopted: Option<InstanceName> = None;
     loop {
         let Some(local) = relay.local_target() else {
             watched = None;
@@ -380,6 +382,12 @@
             continue;
         };
         let name = local.instance.name.clone();
+        let list_revision = relay.view().list_revision;
+        if adopted.as_ref() != Some(&name) && list_revision != CACHED_REVISION {
+            // The list has the state of the entry, so that only later changes are needed.
+            adopted = Some(name.clone());
+            watched = Some((name.clone(), list_revision));
+        }
         let query = match &watched {
             Some((known, revision)) if *known == name => Query::WatchTarget {
                 name: name.clone(),
