--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -203,7 +203,8 @@
     }
 
     /// Sends the request to one instance after another until one answers. An attempt counts towards
-    /// `max_attempts` of the route unless the request was refused before it reached the target.
+    /// `max_attempts` of the route unless the request was refused before it reached the target. If
+    /// no instance was available, the request is held for a moment and starts over.
     ///
     /// # Errors
     ///
@@ -231,7 +232,11 @@
         hold::may_hold(kind, held_for, self.route.objective)
     }
 
-    /// Sends the request to one instance after another, as [`Call::dispatch`] says.
+    /// Sends the request once to each instance that may be tried, until one answers.
+    ///
+    /// # Errors
+    ///
+    /// As [`Call::dispatch`].
     async fn try_instances(&self) -> Result<CallerResponse, ErrorKind> {
         let mut tried: Vec<InstanceName> = Vec::new();
         let mut counted_attempts = 0;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,10 +3,10 @@
 //! A request is read from a caller ([`caller_server`]), routed to an instance ([`call`]), forwarded
 //! to the node beside that instance ([`peer_client`], [`peer_server`]) and run at the target there
 //! ([`run`], [`target_client`]). The node learns about the fleet from the platform's store
-//! ([`store_sync`]).
+//! ([`store_sync`]) or from the nodes of its failure domain that read it ([`reader_sync`]).
 //!
-//! Locks are not nested, except that the view is read under the lock of the store health. No lock
-//! is held across an `await`.
+//! Locks are not nested, except that the view is read under the locks of the store health and of
+//! the misdirected target. No lock is held across an `await`.
 
 pub mod admission_queue;
 mod attempt;
