Send reads and questions to other nodes through one function

The client for other nodes had the same steps twice, for a read of the store and for a question to a reader; and the evaluation of an unchanged list built what apply_targets builds. Behaviour is unchanged.

Checked: formatter, linter, and the tests relay, silent_node and frames (37 passed).

--- a/src/relay/peer_client.rs
+++ b/src/relay/peer_client.rs
@@ -140,16 +140,8 @@
         query: Query,
         max_time: Duration,
     ) -> Option<QueryResult> {
-        if self.is_unreachable(address) {
-            return None;
-        }
-        let (tx, rx) = oneshot::channel();
-        let connection = self.connection(address);
-        connection
-            .commands
-            .try_send(Command::Read(query, tx))
-            .ok()?;
-        timeout(max_time, rx).await.ok()?.ok()?
+        let command = |tx| Command::Read(query, tx);
+        self.ask(address, max_time, command).await.flatten()
     }
 
     /// Asks the node at `address` for what it has read from the store beyond `known`, and waits at
@@ -160,15 +152,27 @@
         known: KnownState,
         max_time: Duration,
     ) -> Option<SyncReply> {
+        let command = |tx| Command::Sync(known, tx);
+        self.ask(address, max_time, command).await
+    }
+
+    /// Sends a command that has a reply, and waits at most `max_time` for it. Returns nothing on
+    /// any failure.
+    async fn ask<F, T>(
+        self: &Arc<PeerClient>,
+        address: SocketAddr,
+        max_time: Duration,
+        command: F,
+    ) -> Option<T>
+    where
+        F: FnOnce(oneshot::Sender<T>) -> Command,
+    {
         if self.is_unreachable(address) {
             return None;
         }
         let (tx, rx) = oneshot::channel();
         let connection = self.connection(address);
-        connection
-            .commands
-            .try_send(Command::Sync(known, tx))
-            .ok()?;
+        connection.commands.try_send(command(tx)).ok()?;
         timeout(max_time, rx).await.ok()?.ok()
     }
 
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -158,11 +158,7 @@
         match reply.list {
             Some(list) if list.revision > view.list_revision => self.apply_list(list),
             _ if now.since(view.listed_at) >= REEVALUATION_PERIOD => {
-                self.apply_list(TargetList {
-                    targets: view.listed_targets(),
-                    revision: view.list_revision,
-                    store_unstable: false,
-                });
+                self.apply_targets(view.listed_targets(), view.list_revision);
             }
             _ => (),
         }
