--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,16 @@
+# Runs the case $1 and writes the record into the folder $2. Sourced by the scripts of the cases.
+run_case() {
+  local case=$1 folder=$2 code
+  cd "$folder/../.."
+  for program in target/release/dragonflylead-platform target/review/standin; do
+    if [ ! -x "$program" ]; then
+      echo "$program is missing: build the deploy file, then run review/build.sh"
+      exit 2
+    fi
+  done
+  timeout 115 target/review/standin "$case" "$folder/record.txt" && code=0 || code=$?
+  case $code in
+    0 | 1) exit "$code" ;;
+    *) exit 2 ;;
+  esac
+}
