Review: a caller that leaves is not noticed after Connection: close (GONE)

Case 5: endpoints are still at work 0.5 s after the clients have left on 22 of 22 requests, and 10 waiting requests reach an endpoint later.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -euo pipefail
+folder=$(cd "$(dirname "$0")" && pwd)
+. "$folder/../run-case.sh"
+run_case leave "$folder"
