--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -103,8 +103,8 @@
     let wait = (stopped + 3_200).saturating_sub(record.now());
     sleep_ms(wait);
     for n in 0..4 {
-        sent.push(spawn(front, record, "GET", format!("lookup-{n}"), format!("/lookup/w2450/{n}")));
-        sent.push(spawn(front, record, "POST", format!("charge-{n}"), format!("/charge/w2450/{n}")));
+        sent.push(spawn(front, record, "GET", format!("lookup-{n}"), format!("/lookup/w2550/{n}")));
+        sent.push(spawn(front, record, "POST", format!("charge-{n}"), format!("/charge/w2550/{n}")));
         sleep_ms(30);
     }
     let mut lost = 0;
@@ -204,10 +204,10 @@
 }
 
 /// Requests with a long body at once.
-const LONG_REQUESTS: usize = 10;
+const LONG_REQUESTS: usize = 14;
 
 /// Length of a long body; the configuration allows 64 MB.
-const LONG_BODY: usize = 14 * 1024 * 1024;
+const LONG_BODY: usize = 9 * 1024 * 1024;
 
 /// Length of the body of the same request without the disruption.
 const SHORT_BODY: usize = 1_800;
@@ -246,7 +246,7 @@
                 return Err(format!("the first request {n} of a connection has failed"));
             }
             sleep_ms(200 * n as u64);
-            Ok(client.exchange(&post(format!("long-{n}"), format!("/pay/w2000/{n}"), &body)))
+            Ok(client.exchange(&post(format!("long-{n}"), format!("/pay/w3000/{n}"), &body)))
         }));
     }
     let mut lost = 0;
@@ -441,7 +441,7 @@
 /// Clients that read slowly, the time for which they do not read, the length of their answers and
 /// the size of their receive buffers in bytes.
 const SLOW_READERS: usize = 10;
-const PAUSE_MS: u64 = 3_500;
+const PAUSE_MS: u64 = 4_000;
 const SLOW_BODY: usize = 30_000;
 const RECEIVE_BUFFER: i32 = 4_096;
 
