--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -296,7 +296,8 @@
     pub fn terminate(&self, machine: &Machine) {
         if let Some(pid) = machine.pid() {
             self.record.line(&format!("SIGTERM to the node of machine {}", machine.ip));
-            let _ = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+            // SAFETY: the process was started by this one and is not waited for yet.
+            unsafe { kill(pid as c_int, SIGTERM) };
         }
     }
 
@@ -319,11 +320,13 @@
 
 unsafe extern "C" {
     fn prctl(option: c_int, ...) -> c_int;
+    fn kill(pid: c_int, signal: c_int) -> c_int;
 }
 
 /// Option of `prctl` for the signal that a process gets when its parent ends.
 const PR_SET_PDEATHSIG: c_int = 1;
 const SIGKILL: c_ulong = 9;
+const SIGTERM: c_int = 15;
 
 /// Has the system kill the process of `command` when this one ends, however that comes about.
 fn end_with_this_process(command: &mut Command) {
