--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -150,8 +150,13 @@
     Ok(kept? | closing?)
 }
 
-/// Requests of one part of the case.
-const LEAVERS: usize = 32;
+/// Clients of one part of the case; one in [`LEAVER_PERIOD`] leaves, a share of 0.2.
+const CLIENTS: usize = 80;
+const LEAVER_PERIOD: usize = 5;
+
+/// Time after which they leave, and the time that a run takes.
+const LEAVE_MS: u64 = 300;
+const RUN_MS: u64 = 1_000;
 
 /// More than a few requests.
 const FEW: usize = 5;
@@ -159,37 +164,38 @@
 fn leave_on(site: &Arc<Site>, trouble: bool, last: bool) -> Outcome {
     let record = &site.record;
     let part = if last { "with Connection: close" } else { "without Connection: close" };
-    record.line(&format!("{LEAVERS} requests, each on its own connection, {part}"));
-    let mut left = Vec::new();
-    for n in 0..LEAVERS {
+    record.line(&format!("{CLIENTS} requests, each on its own connection, {part}"));
+    let mut clients = Vec::new();
+    for n in 0..CLIENTS {
         let machine = site.machines[n % 2].clone();
         let record = record.clone();
-        left.push(thread::spawn(move || -> Result<(String, u64), String> {
+        clients.push(thread::spawn(move || -> Result<Option<(String, u64)>, String> {
+            let name = if last { "last" } else { "kept" };
             let request = Request {
                 last,
-                ..get(format!("{}-{n}", if last { "last" } else { "kept" }), format!("/lookup/w1500/{n}"))
+                ..get(format!("{name}-{n}"), format!("/lookup/w{RUN_MS}/{n}"))
             };
             let mut client = open(&machine, &record)?;
             let sent = client.send(&request).map_err(|e| e.to_string())?;
-            if !trouble {
-                let answer = client.receive(&request, sent, Duration::from_millis(5_000));
-                return Ok((request.id, answer.ended));
+            if !trouble || n % LEAVER_PERIOD != 0 {
+                client.receive(&request, sent, Duration::from_millis(5_000));
+                return Ok(None);
             }
-            sleep_ms(300);
+            sleep_ms(LEAVE_MS);
             drop(client);
             record.line(&format!("request {}: the client has closed its connection", request.id));
-            Ok((request.id, record.now()))
+            Ok(Some((request.id, record.now())))
         }));
     }
-    let left: Vec<_> = left.into_iter().map(|h| h.join().expect("a client")).collect();
-    sleep_ms(5_500);
+    let clients: Vec<_> = clients.into_iter().map(|h| h.join().expect("a client")).collect();
+    sleep_ms(2_500);
     let (mut late, mut lasting, mut at_work) = (0, 0, 0);
-    for client in left {
-        let (id, closed) = client?;
+    for client in clients {
+        let Some((id, closed)) = client? else { continue };
         for run in record.runs_of(&id) {
             late += usize::from(run.reached > closed + 500);
             // Those that run when the client leaves would last more than half a second longer.
-            if run.reached <= closed && run.reached + 1_500 > closed + 500 {
+            if run.reached <= closed && run.reached + RUN_MS > closed + 500 {
                 lasting += 1;
                 at_work += usize::from(run.ended.is_none_or(|ended| ended > closed + 500));
             }
