--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -75,7 +75,11 @@
 
 /// LOST: requests that arrive while a node stops, later than 3 s after its SIGTERM.
 pub fn stop(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let places = [("lahore", "front", 90), ("faisalabad", "back", 90)];
+    let places = [
+        ("lahore", "front", 90),
+        ("faisalabad", "front", 90),
+        ("faisalabad", "back", 90),
+    ];
     let site = Site::start(record, &places, &[FRONT, LOOKUP, CHARGE], Duration::ZERO)?;
     let outcome = stop_on(&site, trouble);
     site.end();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for clients, endpoints, the store and the platform, and the cases that use them.
 //!
-//! `standin CASE RECORD` exits with 1 if the rule was broken, 0 if it held and 2 if the case could
-//! not run. With `TROUBLE=0` the case is played without its disruption.
+//! `standin CASE RECORD TROUBLE` exits with 1 if the rule was broken, 0 if it held and 2 if the case
+//! could not run. With 0 as `TROUBLE` the case is played without its disruption.
 
 mod cases;
 mod client;
@@ -19,11 +19,11 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, path] = args.as_slice() else {
-        eprintln!("usage: standin CASE RECORD");
+    let [_, case, path, trouble] = args.as_slice() else {
+        eprintln!("usage: standin CASE RECORD TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = trouble != "0";
     let record = match Record::create(path) {
         Ok(record) => Arc::new(record),
         Err(e) => {
