Take no request in a planned stop that may outlast the node

Cause: a stopping node reads requests for as long as the target beside it is at work, whatever time they may take, and nothing answers what is in progress at the exit.

Fix: from 2.6 s on only requests whose deadline comes before the exit are taken, others are refused as not run, so that their callers may go elsewhere at once. What is in progress just before the exit is answered. The decision looks at time and deadline only, so calls of the target and pipelined requests are covered.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -41,6 +41,7 @@
 pub mod routing;
 pub mod score;
 pub mod selection;
+pub mod shutdown;
 pub mod slots;
 pub mod subset;
 pub mod target;
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -130,6 +130,10 @@
 
 impl Call<'_> {
     async fn respond(&self) -> CallerResponse {
+        let left = self.deadline.since(self.relay.now());
+        if !self.relay.may_take_request(left) {
+            return self.refuse(NotRunKind::NotReady, 0.5);
+        }
         if let Some(admitted_share) = self.share_if_rejected() {
             return self.refuse(NotRunKind::Shed, admitted_share);
         }
@@ -149,17 +153,31 @@
                 .record_call(&self.route.name, now);
         }
         let left = self.deadline.since(self.relay.now());
-        match tokio::time::timeout(left, self.dispatch()).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(ErrorKind::NotRun(kind))) => {
-                self.record_rejection();
-                self.refuse(kind, 0.5)
+        tokio::select! {
+            biased;
+            result = self.dispatch() => match result {
+                Ok(response) => response,
+                Err(ErrorKind::NotRun(kind)) => {
+                    self.record_rejection();
+                    self.refuse(kind, 0.5)
+                }
+                Err(ErrorKind::Unknown(kind)) => self.fail(kind),
+            },
+            () = tokio::time::sleep(left) => {
+                self.give_up(NotRunKind::DeadlineInQueue, UnknownKind::Deadline)
             }
-            Ok(Err(ErrorKind::Unknown(kind))) => self.fail(kind),
-            Err(_) if self.possibly_running.load(Ordering::Relaxed) => {
-                self.fail(UnknownKind::Deadline)
+            () = self.relay.wait_for_exit() => {
+                self.give_up(NotRunKind::NotReady, UnknownKind::ConnectionLost)
             }
-            Err(_) => self.refuse(NotRunKind::DeadlineInQueue, 0.5),
+        }
+    }
+
+    /// Answers a request whose run is no longer awaited: `unknown` if it may be running, `not_run`
+    /// otherwise.
+    fn give_up(&self, not_run: NotRunKind, unknown: UnknownKind) -> CallerResponse {
+        match self.possibly_running.load(Ordering::Relaxed) {
+            true => self.fail(unknown),
+            false => self.refuse(not_run, 0.5),
         }
     }
 
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -108,10 +108,10 @@
             let may_read = match phase {
                 Phase::Serving => !last_request_read && self.pending.len() < MAX_PIPELINED,
                 Phase::Stopping => !last_request_read && self.pending.is_empty(),
-                Phase::Closing => false,
+                Phase::Closing | Phase::Exiting => false,
             };
             let linger = match (phase, self.pending.is_empty() && !last_request_read) {
-                (Phase::Closing, true) => return self.close().await,
+                (Phase::Closing | Phase::Exiting, true) => return self.close().await,
                 (Phase::Stopping, true) if !self.reader.has_partial_request() => true,
                 _ => false,
             };
--- a/src/relay/lifecycle.rs
+++ b/src/relay/lifecycle.rs
@@ -11,6 +11,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::coordination::shutdown::FINAL_WRITE_TIME;
+use crate::coordination::shutdown::MIN_ACCEPT_TIME;
+use crate::coordination::shutdown::ShutdownPlan;
 use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::RelayConfig;
@@ -26,21 +29,9 @@
 /// Time between two reads of the settings file.
 const RELOAD_PERIOD: Duration = Duration::from_millis(1_000);
 
-/// Time for which a stopping node accepts callers at least, until they use other nodes.
-const MIN_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
-
-/// End of the grace period in which no further request is read.
-const CLOSING_RESERVE: Duration = Duration::from_millis(1_500);
-
-/// Time for the last responses to be written.
-const FINAL_WRITE_TIME: Duration = Duration::from_millis(100);
-
 /// Time between two checks whether a stopping node has finished.
 const STOP_POLL_PERIOD: Duration = Duration::from_millis(50);
 
-/// End of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(500);
-
 /// A running node with its listeners and tasks.
 #[derive(Debug)]
 pub struct RunningRelay {
@@ -123,10 +114,9 @@
     /// the node accepts connections until the target is idle.
     pub async fn stop(self) {
         let started_at = Instant::now();
-        let grace = self.relay.cfg().grace.saturating_sub(EXIT_RESERVE);
-        let last_accept = grace.saturating_sub(CLOSING_RESERVE);
+        let plan = ShutdownPlan::new(self.relay.cfg().grace);
         self.relay.set_phase(Phase::Stopping);
-        while started_at.elapsed() < last_accept {
+        while started_at.elapsed() < plan.last_read {
             let min_accept_time_over = started_at.elapsed() >= MIN_ACCEPT_TIME;
             if min_accept_time_over && self.relay.admission_queue().counts().0 == 0 {
                 break;
@@ -136,9 +126,13 @@
         self.callers.abort();
         self.relay.set_phase(Phase::Closing);
         sleep(FINAL_WRITE_TIME).await;
-        while started_at.elapsed() < grace && self.relay.is_busy() {
+        while started_at.elapsed() < plan.last_wait && self.relay.is_busy() {
             sleep(STOP_POLL_PERIOD).await;
         }
+        if self.relay.is_busy() {
+            self.relay.set_phase(Phase::Exiting);
+            sleep(plan.exit.saturating_sub(started_at.elapsed())).await;
+        }
         log::info!(took_ms = started_at.elapsed().as_millis() as u64, busy = self.relay.is_busy(); "node stopped");
         self.ready.close();
         self.metrics.close();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -38,6 +38,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::time::Duration;
 
@@ -61,6 +62,7 @@
 use crate::coordination::routing::LocalNode;
 use crate::coordination::routing::Router;
 use crate::coordination::routing::RoutingConfig;
+use crate::coordination::shutdown::ShutdownPlan;
 use crate::instance::DomainName;
 use crate::instance::InstanceName;
 use crate::instance::RegionName;
@@ -164,6 +166,8 @@
     peer_client: Arc<PeerClient>,
     metrics: RelayMetrics,
     phase: watch::Sender<Phase>,
+    /// When the node began to stop.
+    stopping_since: OnceLock<Time>,
     newer_version_seen: Notify,
     /// Notified when the view or the health of the store changes.
     view_changed: Notify,
@@ -182,6 +186,8 @@
     Stopping,
     /// The node reads no further request and finishes those in progress.
     Closing,
+    /// The node is about to exit and answers the requests in progress without waiting for them.
+    Exiting,
 }
 
 impl std::fmt::Debug for Relay {
@@ -240,6 +246,7 @@
             peer_client: Arc::new(PeerClient::new(local_ip, incarnation)),
             metrics: RelayMetrics::new(),
             phase: watch::Sender::new(Phase::Serving),
+            stopping_since: OnceLock::new(),
             newer_version_seen: Notify::new(),
             view_changed: Notify::new(),
             synced_at: Mutex::default(),
@@ -327,12 +334,32 @@
 
     /// Enters a phase. Stopping is announced to all connected nodes.
     pub fn set_phase(&self, phase: Phase) {
+        if phase != Phase::Serving {
+            self.stopping_since.get_or_init(|| self.now());
+        }
         self.phase.send_replace(phase);
         if phase == Phase::Stopping {
             self.peer_client.broadcast(&Frame::Stopping);
         }
     }
 
+    /// Returns whether a request that arrives now is taken. `time_limit` is the time until its
+    /// deadline. A stopping node refuses requests that may not end before it exits.
+    pub fn may_take_request(&self, time_limit: Duration) -> bool {
+        let Some(since) = self.stopping_since.get() else {
+            return true;
+        };
+        let plan = ShutdownPlan::new(self.cfg().grace);
+        plan.may_take(self.now().since(*since), time_limit)
+    }
+
+    /// Waits until the node is about to exit.
+    pub async fn wait_for_exit(&self) {
+        let mut phases = self.phase.subscribe();
+        // The sender is a field of `self`, so that the wait cannot fail.
+        let _ = phases.wait_for(|phase| *phase == Phase::Exiting).await;
+    }
+
     /// Returns whether requests of callers are in progress or the local target runs any.
     pub fn is_busy(&self) -> bool {
         self.metrics.in_progress() > 0 || self.admission_queue.counts().0 > 0
--- a/tests/relays/stop_under_load.rs
+++ b/tests/relays/stop_under_load.rs
@@ -91,3 +91,95 @@
         "the node still accepts connections"
     );
 }
+
+/// A request that is sent to a node after it was told to stop.
+struct LateCase {
+    name: &'static str,
+    /// Time between the start of the stop and the request.
+    at: Duration,
+    method: &'static str,
+    path: &'static str,
+    deadline_ms: u32,
+    status: u16,
+    runs: usize,
+}
+
+/// The node has a grace period of 6 s and exits after 5.5 s.
+const LATE_CASES: &[LateCase] = &[
+    LateCase {
+        name: "soon after the start",
+        at: Duration::from_millis(1_500),
+        method: "POST",
+        path: "/b-once/wait-1500/1",
+        deadline_ms: 5_000,
+        status: 200,
+        runs: 1,
+    },
+    LateCase {
+        name: "soon after the start, and runs longer than the node",
+        at: Duration::from_millis(2_000),
+        method: "POST",
+        path: "/b-once/wait-3900/2",
+        deadline_ms: 5_000,
+        status: 502,
+        runs: 1,
+    },
+    LateCase {
+        name: "charge that may outlast the node",
+        at: Duration::from_millis(3_200),
+        method: "POST",
+        path: "/b-once/wait-2600/3",
+        deadline_ms: 5_000,
+        status: 503,
+        runs: 0,
+    },
+    LateCase {
+        name: "lookup that may outlast the node",
+        at: Duration::from_millis(3_200),
+        method: "GET",
+        path: "/b/wait-2600/4",
+        deadline_ms: 5_000,
+        status: 503,
+        runs: 0,
+    },
+    LateCase {
+        name: "charge that ends before the node",
+        at: Duration::from_millis(3_200),
+        method: "POST",
+        path: "/b-once/wait-300/5",
+        deadline_ms: 1_500,
+        status: 200,
+        runs: 1,
+    },
+];
+
+/// Guards against requests that a stopping node takes late and cuts off at its exit, among them
+/// charges that run. The target beside the node is at work, so that the node still accepts.
+#[tokio::test]
+async fn a_stopping_node_takes_no_request_that_may_outlast_it() {
+    let mut fleet = RelayFleet::start(46, &["a", "b"]).await;
+    let stopping = fleet.members.remove(0);
+    let outbound = stopping.outbound;
+    let mut busy = Caller::connect(outbound).await;
+    busy.send(&request("GET", "/a/wait-3900/x", "busy", b""))
+        .await;
+    while stopping.target.count("busy") == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let late = LATE_CASES.iter().map(|case| async move {
+        sleep(case.at).await;
+        let bytes = request(case.method, case.path, case.name, b"");
+        let text = String::from_utf8(bytes).unwrap();
+        let text = text.replace("5000", &case.deadline_ms.to_string());
+        let mut caller = Caller::connect(outbound).await;
+        caller.send(text.as_bytes()).await;
+        caller.next_response().await
+    });
+    let late = futures_util::future::join_all(late);
+    let (responses, ()) = tokio::join!(late, stopping.node.stop());
+    for (case, response) in LATE_CASES.iter().zip(responses) {
+        let status = response.map(|response| response.status);
+        assert_eq!(status, Some(case.status), "{}", case.name);
+        assert_eq!(fleet.count(case.name), case.runs, "{}", case.name);
+    }
+}
