Do not cut off callers, nodes and targets that read slowly

Cause: TCP_USER_TIMEOUT of 3 s on all connections. It counts the time for which the other side's window is closed, so that a side that reads slowly is taken for one that is gone.

Fix: the option is gone from connections of callers and between nodes. Towards the target it stays for requests of at most 4 KiB, which fit into any buffer: there it still finds connections that have gone silent.

--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -1,6 +1,7 @@
 //! Server for callers. Pipelined requests run concurrently and are answered in the order of
 //! arrival.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
@@ -9,11 +10,9 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::coordination::route::CallerLimits;
 use crate::http1::head::MessageError;
@@ -22,11 +21,11 @@
 use crate::http1::reader::ReadLimits;
 use crate::http1::reader::Request;
 use crate::http1::reader::RequestReader;
-use crate::http1::write;
 use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::call;
 use crate::relay::response::CallerResponse;
+use crate::relay::response_writer::ResponseWriter;
 use crate::relay::run::ACCEPT_RETRY_DELAY;
 use crate::relay::socket;
 
@@ -80,9 +79,10 @@
         relay,
         from,
         reader: RequestReader::new(rd),
-        wr,
+        writer: ResponseWriter::new(wr),
         pending: FuturesOrdered::new(),
-        out: Vec::new(),
+        finished: VecDeque::new(),
+        closing: false,
     };
     connection.serve().await
 }
@@ -91,9 +91,12 @@
     relay: &'a Arc<Relay>,
     from: IpAddr,
     reader: RequestReader<OwnedReadHalf>,
-    wr: OwnedWriteHalf,
+    writer: ResponseWriter,
     pending: FuturesOrdered<PendingResponse<'a>>,
-    out: Vec<u8>,
+    /// Responses that wait for the caller to read earlier ones.
+    finished: VecDeque<FinishedRequest>,
+    /// Whether the connection is closed after the response that is being written.
+    closing: bool,
 }
 
 impl Connection<'_> {
@@ -102,15 +105,20 @@
         let mut last_request_read = false;
         loop {
             let phase = *phases.borrow_and_update();
+            self.write_finished(phase)?;
+            if self.closing && !self.writer.is_writing() {
+                return self.close().await;
+            }
             let limits = self.limits();
+            let idle = self.is_idle();
             // A stopping node reads one request at a time, while none is in progress on the
             // connection.
             let may_read = match phase {
-                Phase::Serving => !last_request_read && self.pending.len() < MAX_PIPELINED,
-                Phase::Stopping => !last_request_read && self.pending.is_empty(),
+                Phase::Serving => !last_request_read && self.in_progress() < MAX_PIPELINED,
+                Phase::Stopping => !last_request_read && idle,
                 Phase::Closing | Phase::Exiting => false,
             };
-            let linger = match (phase, self.pending.is_empty() && !last_request_read) {
+            let linger = match (phase, idle && !last_request_read) {
                 (Phase::Closing | Phase::Exiting, true) => return self.close().await,
                 (Phase::Stopping, true) if !self.reader.has_partial_request() => true,
                 _ => false,
@@ -118,23 +126,17 @@
             tokio::select! {
                 biased;
                 Some(finished) = self.pending.next(), if !self.pending.is_empty() => {
-                    let last = self.pending.is_empty();
-                    let close = finished.close || (phase != Phase::Serving && last);
-                    self.write(&finished, close).await?;
-                    if close {
-                        return self.close().await;
-                    }
+                    self.finished.push_back(finished);
                 }
+                written = self.writer.write_more(), if self.writer.is_writing() => written?,
                 incoming = self.reader.next(&limits), if may_read => match incoming {
                     Ok(Incoming::Request(request)) => {
                         last_request_read = request.head.close;
                         self.start(*request);
                     }
-                    Ok(Incoming::ExpectsContinue) => {
-                        self.wr.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-                    }
+                    Ok(Incoming::ExpectsContinue) => self.writer.start_continue()?,
                     Err(ReadError::Closed(_)) => return Ok(()),
-                    Err(ReadError::IdleTimeout) if !self.pending.is_empty() => (),
+                    Err(ReadError::IdleTimeout) if !idle => (),
                     Err(ReadError::IdleTimeout) => return self.close().await,
                     Err(ReadError::RequestTimeout) => {
                         self.reject(408, "request took too long");
@@ -152,6 +154,33 @@
         }
     }
 
+    /// Starts to write the next responses, until the caller does not read or the connection is to
+    /// be closed.
+    fn write_finished(&mut self, phase: Phase) -> io::Result<()> {
+        while !self.closing && !self.writer.is_writing() {
+            let Some(finished) = self.finished.pop_front() else {
+                return Ok(());
+            };
+            let last = self.finished.is_empty() && self.pending.is_empty();
+            self.closing = finished.close || (phase != Phase::Serving && last);
+            let FinishedRequest {
+                response, is_head, ..
+            } = &finished;
+            self.writer.start(response, self.closing, *is_head)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the number of requests that wait for their responses or for their callers to read.
+    fn in_progress(&self) -> usize {
+        self.pending.len() + self.finished.len()
+    }
+
+    /// Returns whether all requests that were read are answered.
+    fn is_idle(&self) -> bool {
+        self.in_progress() == 0 && !self.writer.is_writing()
+    }
+
     fn limits(&self) -> ReadLimits {
         let limits = self.relay.view().routes.as_ref().map(|t| t.limits);
         let limits: CallerLimits = limits.unwrap_or_default();
@@ -189,26 +218,10 @@
             })));
     }
 
-    async fn write(&mut self, finished: &FinishedRequest, close: bool) -> io::Result<()> {
-        let FinishedRequest {
-            response, is_head, ..
-        } = finished;
-        self.out.clear();
-        write::response(
-            &mut self.out,
-            response.status,
-            &response.headers,
-            &response.body,
-            close,
-            *is_head,
-        );
-        self.wr.write_all(&self.out).await
-    }
-
     /// Shuts down the write side and discards what the caller still sends. A close with unread
     /// bytes would reset the connection before the caller has read its last response.
     async fn close(&mut self) -> io::Result<()> {
-        self.wr.shutdown().await?;
+        self.writer.shutdown().await?;
         self.reader.discard_rest(CLOSE_TIMEOUT).await;
         Ok(())
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 pub mod peer_server;
 pub mod reader_sync;
 pub mod response;
+mod response_writer;
 pub mod run;
 pub mod socket;
 mod store;
--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -14,10 +14,6 @@
 /// Length of the accept queue, in connections.
 const BACKLOG: u32 = 1_024;
 
-/// Time for which sent bytes may stay unacknowledged before the connection is aborted
-/// (`TCP_USER_TIMEOUT`).
-const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
-
 /// Idle time before the first keepalive probe, and time between probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -38,21 +34,35 @@
     Ok(stream)
 }
 
-/// Disables Nagle's algorithm and sets the timeouts by which a connection detects that its other
-/// side is gone.
+/// Disables Nagle's algorithm, and enables the probes by which an idle connection detects that its
+/// other side is gone.
+///
+/// `TCP_USER_TIMEOUT` stays unset: it also ends connections whose other side is alive and reads
+/// slowly. See [`set_max_unacknowledged`].
 ///
 /// # Errors
 ///
 /// If the options cannot be set.
 pub fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_PERIOD)
         .with_interval(KEEPALIVE_PERIOD)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// Sets the time for which sent bytes may stay unacknowledged before the connection is aborted
+/// (`TCP_USER_TIMEOUT`), or no such limit.
+///
+/// The system cannot tell a connection that has gone silent from one whose other side does not read.
+/// So a limit is only right for messages that the other side's buffer holds unread.
+///
+/// # Errors
+///
+/// If the option cannot be set.
+pub fn set_max_unacknowledged(stream: &TcpStream, time: Option<Duration>) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(time)
 }
 
 /// Listens at `address`. `SO_REUSEADDR` lets it succeed while connections of an earlier process are
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -52,6 +52,14 @@
 /// have gone silent.
 const SILENT_AFTER: Duration = Duration::from_millis(700);
 
+/// Length of a request, in bytes, that the target's buffer holds unread. If a longer one is not
+/// acknowledged, the target may only be reading slowly.
+const MAX_BUFFERED_REQUEST: usize = 4 * 1024;
+
+/// Time for which such a short request may stay unacknowledged before the connection counts as
+/// silent.
+const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(3_000);
+
 /// A request to the target.
 #[derive(Clone, Debug)]
 pub struct TargetRequest {
@@ -183,6 +191,10 @@
             &request.headers,
             &request.body,
         );
+        if out.len() > MAX_BUFFERED_REQUEST {
+            // The rest of this request may delay the next one, so that the connection stays so.
+            allow_slow_reads(&connection.stream, &request.id);
+        }
         let reused = connection.reused;
         let (mut rd, mut wr) = connection.stream.split();
         let read = self.receive_response(&mut rd, request, reused);
@@ -217,6 +229,7 @@
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
         socket::set_options(&stream)?;
+        socket::set_max_unacknowledged(&stream, Some(MAX_UNACKNOWLEDGED))?;
         Ok(Connection {
             stream,
             reused: false,
@@ -383,6 +396,13 @@
     }
 }
 
+/// Removes the limit on the time that the target may take to read a request.
+fn allow_slow_reads(stream: &TcpStream, request: &str) {
+    if let Err(e) = socket::set_max_unacknowledged(stream, None) {
+        log::warn!(request:% = request, error:% = e; "a target that reads slowly may be cut off");
+    }
+}
+
 /// Returns whether an idle connection is open and has no unread bytes.
 fn is_open_and_idle(stream: &TcpStream) -> bool {
     let mut probe = [0; 1];
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,6 +14,8 @@
 mod draining;
 #[path = "relays/restart.rs"]
 mod restart;
+#[path = "relays/slow_readers.rs"]
+mod slow_readers;
 #[path = "relays/stop_under_load.rs"]
 mod stop_under_load;
 #[path = "relays/store_calls.rs"]
--- a/tests/silent_node.rs
+++ b/tests/silent_node.rs
@@ -52,24 +52,25 @@
     }
 }
 
-/// Starts a node that replies to each request after [`SILENCE`] and to nothing else.
-async fn start_silent_node() -> SocketAddr {
+/// Starts a node that replies to each request after `silence` and to nothing else. It reads nothing
+/// meanwhile.
+async fn start_silent_node(silence: Duration) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(serve(stream));
+            tokio::spawn(serve(stream, silence));
         }
     });
     address
 }
 
-async fn serve(stream: TcpStream) -> io::Result<()> {
+async fn serve(stream: TcpStream, silence: Duration) -> io::Result<()> {
     let mut frames = Framed::new(stream, frame::codec());
     while let Some(bytes) = frames.next().await {
         if let Ok(Frame::Run(req)) = frame::decode(&bytes?) {
-            tokio::time::sleep(SILENCE).await;
+            tokio::time::sleep(silence).await;
             let reply = Frame::Reply {
                 number: req.number,
                 outcome: completed(),
@@ -104,9 +105,35 @@
         },
     ];
     for case in cases {
-        let address = start_silent_node().await;
+        let address = start_silent_node(SILENCE).await;
         let client = Arc::new(PeerClient::new("127.0.0.1".parse().unwrap(), 1));
         let reply = client.run(address, run_request(case.idempotent)).await;
         assert_eq!(reply.outcome, case.outcome, "{}", case.name);
     }
 }
+
+/// Time for which a node reads nothing, longer than the system may take to give up a connection.
+const LONG_SILENCE: Duration = Duration::from_millis(4_500);
+
+/// Length of a body that does not fit into the buffers of a connection, in bytes.
+const LONG_BODY: usize = 16 << 20;
+
+/// Guards against connections to a paused node that are reset because it does not read: the
+/// outcome of the charge that it runs would be lost.
+#[tokio::test]
+async fn a_charge_is_answered_by_a_node_whose_buffers_are_full() {
+    let address = start_silent_node(LONG_SILENCE).await;
+    let client = Arc::new(PeerClient::new("127.0.0.1".parse().unwrap(), 1));
+    let charge = client.run(address, run_request(false));
+    let lookup = async {
+        // The node has read the charge by then, and stays silent.
+        tokio::time::sleep(SILENCE / 10).await;
+        let mut req = run_request(true);
+        req.body = vec![b'x'; LONG_BODY];
+        client.run(address, req).await
+    };
+    let (charge, lookup) = tokio::join!(charge, lookup);
+    assert_eq!(charge.outcome, completed());
+    let lost = RunOutcome::Unknown(UnknownKind::ConnectionLost);
+    assert_eq!(lookup.outcome, lost);
+}
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -262,6 +262,19 @@
         fleet
     }
 
+    /// Publishes a configuration that allows request bodies of up to `max_bytes`, and waits until
+    /// all nodes apply it.
+    pub(crate) async fn allow_bodies_up_to(&self, max_bytes: usize, services: &[&str]) {
+        let mut allowing = table(2, services);
+        allowing.limits.max_body_bytes = max_bytes;
+        self.store.publish(allowing);
+        self.wait_until(|fleet| {
+            let mut relays = fleet.members.iter().map(|member| member.node.relay());
+            relays.all(|relay| relay.config_version() == 2)
+        })
+        .await;
+    }
+
     /// Waits until `condition` holds.
     pub(crate) async fn wait_until<F>(&self, condition: F)
     where
--- a/tests/support/scripted_target.rs
+++ b/tests/support/scripted_target.rs
@@ -24,6 +24,8 @@
     SendThenLater(Vec<u8>, Vec<u8>),
     /// Sends bytes and then nothing more, with the connection open.
     SendThenStall(Vec<u8>),
+    /// Reads nothing for a time, then reads this many bytes of a body and sends a response.
+    ReadLater(Duration, usize, Vec<u8>),
     /// Sends the first bytes once and the second ones until the connection closes.
     SendEndlessly(&'static [u8], &'static [u8]),
 }
@@ -125,6 +127,12 @@
                 send(&mut stream, &bytes, counts).await;
                 std::future::pending().await
             }
+            Reaction::ReadLater(pause, len, bytes) => {
+                tokio::time::sleep(pause).await;
+                let mut body = vec![0; len];
+                stream.read_exact(&mut body).await.is_ok()
+                    && send(&mut stream, &bytes, counts).await
+            }
             Reaction::SendEndlessly(start, repeated) => {
                 let block = repeated.repeat(4_096 / repeated.len());
                 let mut open = send(&mut stream, start, counts).await;
--- a/tests/target_client.rs
+++ b/tests/target_client.rs
@@ -291,3 +291,25 @@
     runs.shutdown().await;
     assert_eq!(memory.used(), 0);
 }
+
+/// Time for which a target does not read, longer than a short request may stay unacknowledged.
+const READ_PAUSE: Duration = Duration::from_millis(4_000);
+
+/// Length of a body that does not fit into the buffers of a connection, in bytes.
+const LONG_BODY: usize = 12 << 20;
+
+/// Guards against connections to the target that are aborted in the middle of a long request,
+/// because the target reads slowly. The request may have run then.
+#[tokio::test]
+async fn a_target_that_reads_slowly_gets_the_whole_request() {
+    let target = ScriptedTarget::start(|_| {
+        let answer = response(200, Some("1"), false);
+        Reaction::ReadLater(READ_PAUSE, LONG_BODY, answer)
+    })
+    .await;
+    let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+    let mut req = target_request("1", false);
+    req.body = vec![b'x'; LONG_BODY];
+    let outcome = client.run(target.address, &req).await;
+    assert_eq!(outcome_name(&outcome), "answered 200");
+}
