Count a request as in progress until its response is written

Callers saw: a planned stop ends the node while a response is being written to a caller that reads slowly, and the rest is lost (LOST).

Cause: the guard that counts a request was dropped when its response was made.

Evidence: a_planned_stop_waits_for_a_caller_that_reads_slowly fails before: the node exits after 2.7 s, the caller reads after 3.5 s.

Fix: the guard is kept beside the response until the connection has taken its last byte. The test passes.

--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -24,6 +24,7 @@
 use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::call;
+use crate::relay::metrics::InProgress;
 use crate::relay::response::CallerResponse;
 use crate::relay::response_writer::ResponseWriter;
 use crate::relay::run::ACCEPT_RETRY_DELAY;
@@ -46,6 +47,7 @@
 
 /// A request of a connection with its response, ready to be written.
 struct FinishedRequest {
+    in_progress: InProgress,
     response: CallerResponse,
     close: bool,
     is_head: bool,
@@ -82,6 +84,7 @@
         writer: ResponseWriter::new(wr),
         pending: FuturesOrdered::new(),
         finished: VecDeque::new(),
+        being_written: None,
         closing: false,
     };
     connection.serve().await
@@ -95,6 +98,8 @@
     pending: FuturesOrdered<PendingResponse<'a>>,
     /// Responses that wait for the caller to read earlier ones.
     finished: VecDeque<FinishedRequest>,
+    /// Counts the request whose response is being written as in progress.
+    being_written: Option<InProgress>,
     /// Whether the connection is closed after the response that is being written.
     closing: bool,
 }
@@ -158,6 +163,7 @@
     /// be closed.
     fn write_finished(&mut self, phase: Phase) -> io::Result<()> {
         while !self.closing && !self.writer.is_writing() {
+            self.being_written = None;
             let Some(finished) = self.finished.pop_front() else {
                 return Ok(());
             };
@@ -167,6 +173,7 @@
                 response, is_head, ..
             } = &finished;
             self.writer.start(response, self.closing, *is_head)?;
+            self.being_written = Some(finished.in_progress);
         }
         Ok(())
     }
@@ -196,9 +203,10 @@
         let relay = self.relay;
         let arrived = relay.now();
         self.pending.push_back(Box::pin(async move {
-            let _in_progress = relay.metrics().start_request();
+            let in_progress = relay.metrics().start_request();
             let response = call::handle(relay, &request, arrived).await;
             FinishedRequest {
+                in_progress,
                 response,
                 close: request.head.close,
                 is_head: request.head.method == "HEAD",
@@ -212,6 +220,7 @@
         let response = CallerResponse::from_node(status, reason);
         self.pending
             .push_back(Box::pin(std::future::ready(FinishedRequest {
+                in_progress: self.relay.metrics().start_request(),
                 response,
                 close: true,
                 is_head: false,
@@ -221,6 +230,7 @@
     /// Shuts down the write side and discards what the caller still sends. A close with unread
     /// bytes would reset the connection before the caller has read its last response.
     async fn close(&mut self) -> io::Result<()> {
+        self.being_written = None;
         self.writer.shutdown().await?;
         self.reader.discard_rest(CLOSE_TIMEOUT).await;
         Ok(())
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -361,7 +361,8 @@
         let _ = phases.wait_for(|phase| *phase == Phase::Exiting).await;
     }
 
-    /// Returns whether requests of callers are in progress or the local target runs any.
+    /// Returns whether requests of callers are in progress, up to the last byte of their responses,
+    /// or the local target runs any.
     pub fn is_busy(&self) -> bool {
         self.metrics.in_progress() > 0 || self.admission_queue.counts().0 > 0
     }
--- a/tests/relays/stop_under_load.rs
+++ b/tests/relays/stop_under_load.rs
@@ -183,3 +183,35 @@
         assert_eq!(fleet.count(case.name), case.runs, "{}", case.name);
     }
 }
+
+/// Size of a response that does not fit into the buffers of a connection, in bytes.
+const LONG_BODY: usize = 12 << 20;
+
+/// Guards against an exit in the middle of a response: a request is in progress until its caller
+/// has been sent the last byte.
+#[tokio::test]
+async fn a_planned_stop_waits_for_a_caller_that_reads_slowly() {
+    let mut fleet = RelayFleet::start(47, &["a", "b"]).await;
+    fleet.allow_bodies_up_to(LONG_BODY, &["a", "b"]).await;
+    let stopping = fleet.members.remove(0);
+    let mut caller = Caller::connect(stopping.outbound).await;
+    let body = vec![b'x'; LONG_BODY];
+    caller.send(&request("POST", "/b-once/x", "1", &body)).await;
+    fleet.wait_until(|fleet| fleet.count("1") == 1).await;
+    let read = async {
+        sleep(Duration::from_millis(3_500)).await;
+        let response = caller.next_response().await;
+        response.expect("the response was cut off").body.len()
+    };
+    let stopped = async {
+        let started_at = std::time::Instant::now();
+        stopping.node.stop().await;
+        started_at.elapsed()
+    };
+    let (len, took) = tokio::join!(read, stopped);
+    assert_eq!(len, LONG_BODY);
+    assert!(
+        took >= Duration::from_millis(3_500),
+        "the node exited after {took:?}, before the response was read"
+    );
+}
