Notice callers that leave while no request is read from them

Cause: only reading shows the end of a connection, and the node does not read after a last request, with 32 requests in progress, or during a stop.

Evidence: a_caller_that_leaves_is_noticed_while_no_request_is_read fails before with 'last request: runs go on'.

Fix: while no request is read, the end of the connection is awaited; bytes that arrive are kept for later requests, or discarded after a last one.

--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -18,6 +18,18 @@
 /// Longest time from the first byte of a request to its last one.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
 
+/// Limit on the bytes that are buffered while only the end of the connection is awaited.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+
+/// What happens to the bytes that arrive while only the end of the connection is awaited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ahead {
+    /// They are the next requests and are kept.
+    Keep,
+    /// No request follows, and they are discarded.
+    Discard,
+}
+
 /// Size limits and timeouts for the requests of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadLimits {
@@ -121,6 +133,24 @@
         }
     }
 
+    /// Waits until the connection ends, without reading a request. Cancel safe. It never returns once
+    /// the bytes to keep have reached [`MAX_AHEAD_BYTES`].
+    pub async fn closed(&mut self, ahead: Ahead) -> io::Error {
+        loop {
+            if ahead == Ahead::Discard {
+                self.buf.clear();
+            }
+            if self.buf.len() >= MAX_AHEAD_BYTES {
+                return std::future::pending().await;
+            }
+            match self.io.read_buf(&mut self.buf).await {
+                Ok(n) if n > 0 => (),
+                Ok(_) => return io::ErrorKind::UnexpectedEof.into(),
+                Err(e) => return e,
+            }
+        }
+    }
+
     /// Returns how long to wait for the next bytes of a request that has begun. A caller that sends
     /// one byte at a time must not hold the connection without end.
     fn wait_for_rest(&mut self, limits: &ReadLimits) -> Duration {
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -10,12 +10,14 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
+use tokio::io::AsyncRead;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 
 use crate::coordination::route::CallerLimits;
 use crate::http1::head::MessageError;
+use crate::http1::reader::Ahead;
 use crate::http1::reader::Incoming;
 use crate::http1::reader::ReadError;
 use crate::http1::reader::ReadLimits;
@@ -45,6 +47,15 @@
 /// The pending response to a request of a connection.
 type PendingResponse<'a> = Pin<Box<dyn Future<Output = FinishedRequest> + Send + 'a>>;
 
+/// What is read from a caller.
+enum Read {
+    /// The next request.
+    Request(ReadLimits),
+    /// Only the end of the connection: a caller that leaves must be noticed also while no request is
+    /// read from it.
+    End(Ahead),
+}
+
 /// A request of a connection with its response, ready to be written.
 struct FinishedRequest {
     in_progress: InProgress,
@@ -128,19 +139,25 @@
                 (Phase::Stopping, true) if !self.reader.has_partial_request() => true,
                 _ => false,
             };
+            let read = match (may_read, last_request_read) {
+                (true, _) => Read::Request(limits),
+                (false, true) => Read::End(Ahead::Discard),
+                (false, false) => Read::End(Ahead::Keep),
+            };
+            let awaits_caller = may_read || !self.pending.is_empty();
             tokio::select! {
                 biased;
                 Some(finished) = self.pending.next(), if !self.pending.is_empty() => {
                     self.finished.push_back(finished);
                 }
                 written = self.writer.write_more(), if self.writer.is_writing() => written?,
-                incoming = self.reader.next(&limits), if may_read => match incoming {
+                incoming = read_from(&mut self.reader, &read), if awaits_caller => match incoming {
                     Ok(Incoming::Request(request)) => {
                         last_request_read = request.head.close;
                         self.start(*request);
                     }
                     Ok(Incoming::ExpectsContinue) => self.writer.start_continue()?,
-                    Err(ReadError::Closed(_)) => return Ok(()),
+                    Err(ReadError::Closed(_)) => return self.finish_writing(phase).await,
                     Err(ReadError::IdleTimeout) if !idle => (),
                     Err(ReadError::IdleTimeout) => return self.close().await,
                     Err(ReadError::RequestTimeout) => {
@@ -178,6 +195,21 @@
         Ok(())
     }
 
+    /// Ends the connection of a caller that sends nothing more. If requests are in progress, the
+    /// caller has left, and they are cancelled. Otherwise it may still read its last responses.
+    async fn finish_writing(&mut self, phase: Phase) -> io::Result<()> {
+        if !self.pending.is_empty() {
+            return Ok(());
+        }
+        loop {
+            self.write_finished(phase)?;
+            if !self.writer.is_writing() {
+                return Ok(());
+            }
+            self.writer.write_more().await?;
+        }
+    }
+
     /// Returns the number of requests that wait for their responses or for their callers to read.
     fn in_progress(&self) -> usize {
         self.pending.len() + self.finished.len()
@@ -237,6 +269,17 @@
     }
 }
 
+/// Reads from a caller as `read` says.
+async fn read_from<R>(reader: &mut RequestReader<R>, read: &Read) -> Result<Incoming, ReadError>
+where
+    R: AsyncRead + Unpin,
+{
+    match read {
+        Read::Request(limits) => reader.next(limits).await,
+        Read::End(ahead) => Err(ReadError::Closed(reader.closed(*ahead).await)),
+    }
+}
+
 fn status_of(e: MessageError) -> u16 {
     match e {
         MessageError::HeadTooLong => 431,
--- a/tests/relays/draining.rs
+++ b/tests/relays/draining.rs
@@ -32,6 +32,98 @@
         .await;
 }
 
+/// A caller that leaves while its node reads no request from it.
+struct LeaveCase {
+    name: &'static str,
+    path: &'static str,
+    /// Requests that are sent at once.
+    requests: usize,
+    /// Whether they say that the connection is to be closed.
+    last: bool,
+    /// Phase of the node when the caller leaves.
+    phase: Phase,
+}
+
+const LEAVE_CASES: &[LeaveCase] = &[
+    LeaveCase {
+        name: "last request",
+        path: "/b/wait-10000/",
+        requests: 1,
+        last: true,
+        phase: Phase::Serving,
+    },
+    LeaveCase {
+        name: "last request, at the local target",
+        path: "/a/wait-10000/",
+        requests: 1,
+        last: true,
+        phase: Phase::Serving,
+    },
+    LeaveCase {
+        name: "more requests than run at once",
+        path: "/b/wait-10000/",
+        requests: 34,
+        last: false,
+        phase: Phase::Serving,
+    },
+    LeaveCase {
+        name: "stopping node",
+        path: "/b/wait-10000/",
+        requests: 1,
+        last: false,
+        phase: Phase::Stopping,
+    },
+    LeaveCase {
+        name: "node that reads no request",
+        path: "/b/wait-10000/",
+        requests: 1,
+        last: false,
+        phase: Phase::Closing,
+    },
+];
+
+/// Guards against runs that go on for a caller that has left, and requests that are still passed on
+/// for it: a node that reads no request does not see the end of the connection.
+#[tokio::test]
+async fn a_caller_that_leaves_is_noticed_while_no_request_is_read() {
+    for (at, case) in LEAVE_CASES.iter().enumerate() {
+        let fleet = RelayFleet::start(50 + at as u8, &["a", "b"]).await;
+        let relay = fleet.members[0].node.relay();
+        let mut caller = Caller::connect(fleet.members[0].outbound).await;
+        let close = match case.last {
+            true => "Connection: close\r\n\r\n",
+            false => "\r\n",
+        };
+        for number in 0..case.requests {
+            let bytes = request("GET", case.path, &number.to_string(), b"");
+            let text = String::from_utf8(bytes).unwrap();
+            let text = text.replace("\r\n\r\n", &format!("\r\n{close}"));
+            caller.send(text.as_bytes()).await;
+        }
+        let runs = |fleet: &RelayFleet| {
+            let targets = fleet.members.iter().map(|member| member.target.runs());
+            targets.flatten().collect::<Vec<_>>()
+        };
+        fleet.wait_until(|fleet| !runs(fleet).is_empty()).await;
+        relay.set_phase(case.phase);
+        // The slots of the target are taken by then, and the other requests wait.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let before = runs(&fleet).len();
+        drop(caller);
+        let all_abandoned = fleet.wait_until(|fleet| runs(fleet).iter().all(|run| run.abandoned));
+        tokio::time::timeout(Duration::from_secs(2), all_abandoned)
+            .await
+            .unwrap_or_else(|_| panic!("{}: runs go on", case.name));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(
+            runs(&fleet).len(),
+            before,
+            "{}: requests ran later",
+            case.name
+        );
+    }
+}
+
 #[tokio::test]
 async fn a_non_idempotent_run_continues_without_its_caller() {
     let fleet = RelayFleet::start(7, &["a", "b"]).await;
