Recognise a request that crashes targets in little traffic

Cause: a crash is a broken connection followed by a refused one, and the refused one came from other requests only.

Evidence: a_request_that_crashes_targets_is_recognised_without_other_traffic fails before: no node suspects the request.

Fix: 50 ms after a connection broke before its response, the node connects once to its target. A target that is leaving is not probed, because it exits as planned.

--- a/src/coordination/crash_detector.rs
+++ b/src/coordination/crash_detector.rs
@@ -18,6 +18,8 @@
 pub struct CrashDetector {
     /// Time of each broken connection, and the request that was sent on it.
     broken: VecDeque<(Time, Fingerprint)>,
+    /// Whether the node is about to check that the target accepts connections.
+    probing: bool,
 }
 
 impl CrashDetector {
@@ -29,6 +31,16 @@
         self.broken.push_back((now, fingerprint));
     }
 
+    /// Returns whether a probe of the target is to be started. There is one at a time.
+    pub fn start_probe(&mut self) -> bool {
+        !std::mem::replace(&mut self.probing, true)
+    }
+
+    /// Records that the probe has ended.
+    pub fn end_probe(&mut self) {
+        self.probing = false;
+    }
+
     /// Records that the target refuses connections. Returns the requests that it was running when
     /// it crashed; empty if the crash was recorded before.
     pub fn record_refused_connection(&mut self, now: Time) -> Vec<Fingerprint> {
--- a/src/relay/local_target.rs
+++ b/src/relay/local_target.rs
@@ -1,12 +1,15 @@
 //! State of the local target: whether it may run a request, and its crashes.
 
 use std::collections::HashSet;
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::Time;
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
+use crate::fingerprint::Fingerprint;
 use crate::instance::InstanceName;
 use crate::relay::CoordinationState;
 use crate::relay::Phase;
@@ -15,6 +18,10 @@
 /// Time after a failed connection to the local target during which no other is attempted.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(150);
 
+/// Time after a broken connection to the local target at which the node checks whether the target
+/// accepts connections.
+const CRASH_PROBE_DELAY: Duration = Duration::from_millis(50);
+
 /// Time after an answer of another instance during which no request is sent to the local target
 /// under its old name.
 const MISDIRECTED_FOR: Duration = Duration::from_millis(1_000);
@@ -119,6 +126,30 @@
         self.list_outdated.notified().await;
     }
 
+    /// Records that a connection to the local target broke before it answered the request with this
+    /// fingerprint. Shortly after, the node checks whether the target still accepts connections: if
+    /// not, it crashed. Without other requests, nothing else would show that.
+    pub fn record_broken_connection(
+        self: &Arc<Relay>,
+        name: &InstanceName,
+        fingerprint: Fingerprint,
+    ) {
+        // A target that leaves exits as planned, even if it breaks off requests.
+        let leaving = self.is_leaving();
+        let now = self.now();
+        let mut coordination = self.coordination();
+        let detector = &mut coordination.crash_detector;
+        detector.record_broken_connection(fingerprint, now);
+        if !leaving && detector.start_probe() {
+            tokio::spawn(probe_target(self.clone(), name.clone()));
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        let view = self.view();
+        view.local_draining || view.local_removed
+    }
+
     /// Tells the other nodes which requests the local target was running when it crashed.
     fn report_crash(&self, name: &InstanceName, now: Time) {
         let reports = {
@@ -169,7 +200,7 @@
     /// draining: its entry is read again, at most once per `DRAINING_HINT_PERIOD`.
     pub fn record_target_response(&self, closes: bool) {
         self.clear_unreachable();
-        if !closes || self.view().local_draining || self.view().local_removed {
+        if !closes || self.is_leaving() {
             return;
         }
         let now = self.now();
@@ -183,3 +214,17 @@
         }
     }
 }
+
+/// Checks whether the local target crashed, once its port has had time to close.
+async fn probe_target(relay: Arc<Relay>, name: InstanceName) {
+    tokio::time::sleep(CRASH_PROBE_DELAY).await;
+    let probed = relay.target_client.probe(relay.target_address()).await;
+    relay.coordination().crash_detector.end_probe();
+    match probed {
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            relay.record_target_unreachable(&name, true);
+        }
+        Err(e) => log::debug!(target:% = name, error:% = e; "local target accepts no connection"),
+        Ok(()) => (),
+    }
+}
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -220,11 +220,7 @@
         } => {
             admitted.permit.set_result(RunResult::Failed);
             if before_response {
-                let now = relay.now();
-                relay
-                    .coordination()
-                    .crash_detector
-                    .record_broken_connection(admitted.fingerprint, now);
+                relay.record_broken_connection(target, admitted.fingerprint);
             }
             RunOutcome::Unknown(kind)
         }
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -223,19 +223,24 @@
                 });
             }
         }
-        let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(stream) => stream?,
-            Err(_) => return Err(io::ErrorKind::TimedOut.into()),
-        };
-        socket::set_options(&stream)?;
-        socket::set_max_unacknowledged(&stream, Some(MAX_UNACKNOWLEDGED))?;
         Ok(Connection {
-            stream,
+            stream: connect(address).await?,
             reused: false,
         })
     }
 
+    /// Opens a connection to find out whether the target accepts any. It is kept for later
+    /// requests.
+    ///
+    /// # Errors
+    ///
+    /// If the connection cannot be made.
+    pub async fn probe(&self, address: SocketAddr) -> io::Result<()> {
+        let stream = connect(address).await?;
+        self.push_idle(stream, DEFAULT_KEEP_ALIVE);
+        Ok(())
+    }
+
     fn pop_idle(&self) -> Option<IdleConnection> {
         self.lock().pop()
     }
@@ -396,6 +401,17 @@
     }
 }
 
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(stream) => stream?,
+        Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+    };
+    socket::set_options(&stream)?;
+    socket::set_max_unacknowledged(&stream, Some(MAX_UNACKNOWLEDGED))?;
+    Ok(stream)
+}
+
 /// Removes the limit on the time that the target may take to read a request.
 fn allow_slow_reads(stream: &TcpStream, request: &str) {
     if let Err(e) = socket::set_max_unacknowledged(stream, None) {
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -14,7 +14,9 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use super::header_names::HEADER_NAMES;
@@ -53,7 +55,20 @@
     /// Starts a target with the instance name `name` on a free port of `ip`.
     pub(crate) async fn start(ip: &str, name: &str) -> PlainTarget {
         let listener = TcpListener::bind((ip, 0)).await.unwrap();
+        PlainTarget::serve(listener, name)
+    }
+
+    /// Starts a target at the address of one that crashed.
+    pub(crate) async fn start_again(address: SocketAddr, name: &str) -> PlainTarget {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(address).unwrap();
+        PlainTarget::serve(socket.listen(64).unwrap(), name)
+    }
+
+    fn serve(listener: TcpListener, name: &str) -> PlainTarget {
         let address = listener.local_addr().unwrap();
+        let crash: Arc<Notify> = Arc::default();
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let recorded = runs.clone();
         let silenced_at: Arc<Mutex<Option<Instant>>> = Arc::default();
@@ -63,12 +78,16 @@
         let task = tokio::spawn(async move {
             let mut served = tokio::task::JoinSet::new();
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
+                let (stream, _) = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap(),
+                    () = crash.notified() => return,
+                };
                 let (name, recorded, silence_time) =
                     (shared_name.clone(), recorded.clone(), silence_time.clone());
+                let crash = crash.clone();
                 let opened = Instant::now();
                 served.spawn(async move {
-                    let serving = serve(stream, name, recorded);
+                    let serving = serve(stream, name, recorded, crash);
                     tokio::pin!(serving);
                     tokio::select! {
                         () = &mut serving => return,
@@ -130,7 +149,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, name: Arc<Mutex<String>>, runs: Arc<Mutex<Vec<Run>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    name: Arc<Mutex<String>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    crash: Arc<Notify>,
+) {
     let mut buf = BytesMut::new();
     while let Some((head, body)) = read(&mut stream, &mut buf).await {
         let name = name.lock().unwrap().clone();
@@ -169,6 +193,10 @@
             runs.lock().unwrap()[at].abandoned = true;
             return;
         }
+        if head.path().contains("/crash") {
+            crash.notify_one();
+            return std::future::pending().await;
+        }
         if !respond(&mut stream, &head, &body).await {
             return;
         }
