Count retries for at least the length of the budget's window

Cause: ten slices of 1 s cover 9 to 10 s, so that a budget used up at the end of a slice is whole again within the window.

Fix: retries count in eleven slices, requests in ten.

--- a/src/coordination/retry_budget.rs
+++ b/src/coordination/retry_budget.rs
@@ -11,9 +11,14 @@
 use crate::clock::Time;
 use crate::instance::ServiceName;
 
-/// Number of slices of the sliding window.
+/// Number of slices of the sliding window. Requests are counted in the present slice and those
+/// before it, and so for at most the length of the window.
 const SLICES: usize = 10;
 
+/// Number of slices in which retries are counted. The first one may be covered in part, so that
+/// there is one more: retries count for at least the length of the window.
+const RETRY_SLICES: usize = SLICES + 1;
+
 /// Part of the slack that the nodes use together. The rest covers nodes whose list is incomplete.
 const USED_SLACK: f64 = 0.5;
 
@@ -35,7 +40,25 @@
     /// Number of the newest slice since time zero.
     slice: u64,
     requests: [u32; SLICES],
-    retries: [u32; SLICES],
+    retries: [u32; RETRY_SLICES],
+}
+
+impl Counts {
+    /// Starts the slices up to `slice`, which clears the counts that they replace.
+    fn advance(&mut self, slice: u64) {
+        let passed = slice.saturating_sub(self.slice).min(RETRY_SLICES as u64);
+        self.slice = slice.max(self.slice);
+        for started in (self.slice - passed + 1)..=self.slice {
+            *at(&mut self.requests, started) = 0;
+            *at(&mut self.retries, started) = 0;
+        }
+    }
+}
+
+/// Returns the count of a slice.
+fn at(counts: &mut [u32], slice: u64) -> &mut u32 {
+    let index = (slice % counts.len() as u64) as usize;
+    &mut counts[index]
 }
 
 impl RetryBudget {
@@ -62,45 +85,33 @@
 
     /// Counts a request that is sent to a service for the first time.
     pub fn record_request(&mut self, service: &ServiceName, now: Time) {
-        let (counts, index) = self.counts(service, now);
-        counts.requests[index] += 1;
+        let counts = self.counts(service, now);
+        *at(&mut counts.requests, counts.slice) += 1;
     }
 
     /// Takes one retry from the budget and returns whether there was one.
     pub fn take(&mut self, service: &ServiceName, now: Time) -> bool {
         let share = self.share;
         let slack = self.slack;
-        let (counts, index) = self.counts(service, now);
+        let counts = self.counts(service, now);
         let requests: u32 = counts.requests.iter().sum();
         let retries: u32 = counts.retries.iter().sum();
         let allowed = f64::from(retries + 1) <= f64::from(requests) * share + slack;
         if allowed {
-            counts.retries[index] += 1;
+            *at(&mut counts.retries, counts.slice) += 1;
         }
         allowed
     }
 
-    /// Returns the counts of a service, with expired slices cleared, and the index of the current
-    /// slice.
-    fn counts(&mut self, service: &ServiceName, now: Time) -> (&mut Counts, usize) {
+    /// Returns the counts of a service, with expired slices cleared.
+    fn counts(&mut self, service: &ServiceName, now: Time) -> &mut Counts {
         let slice_us = self.slice_duration.as_micros().max(1) as u64;
         let slice = now.micros() / slice_us;
         if !self.services.contains_key(service) {
-            let counts = Counts {
-                slice,
-                ..Counts::default()
-            };
-            self.services.insert(service.clone(), counts);
+            self.services.insert(service.clone(), Counts::default());
         }
         let counts = self.services.entry(service.clone()).or_default();
-        let passed = slice.saturating_sub(counts.slice).min(SLICES as u64);
-        for step in 1..=passed {
-            let expired = ((slice - passed + step) % SLICES as u64) as usize;
-            counts.requests[expired] = 0;
-            counts.retries[expired] = 0;
-        }
-        counts.slice = slice.max(counts.slice);
-        let index = (counts.slice % SLICES as u64) as usize;
-        (counts, index)
+        counts.advance(slice);
+        counts
     }
 }
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -23,6 +23,9 @@
     requests_per_s: u64,
     /// Share of the requests that enter at one node, which changes every 4 s.
     skew: f64,
+    /// Times in milliseconds from which it retries for [`BURST_MS`], as often as it may. If there
+    /// are none, each request is retried once.
+    bursts: &'static [u64],
     /// Retries that the fleet must be able to send in all, as a share of its requests.
     min_retry_share: f64,
 }
@@ -34,6 +37,7 @@
         known_nodes: 16,
         requests_per_s: 400,
         skew: 0.6,
+        bursts: &[],
         min_retry_share: 0.18,
     },
     Fleet {
@@ -42,6 +46,7 @@
         known_nodes: 98,
         requests_per_s: 400,
         skew: 0.3,
+        bursts: &[],
         min_retry_share: 0.18,
     },
     Fleet {
@@ -50,6 +55,7 @@
         known_nodes: 98,
         requests_per_s: 40,
         skew: 0.0,
+        bursts: &[],
         min_retry_share: 0.18,
     },
     Fleet {
@@ -58,6 +64,7 @@
         known_nodes: 60,
         requests_per_s: 40,
         skew: 0.3,
+        bursts: &[],
         min_retry_share: 0.18,
     },
     Fleet {
@@ -66,10 +73,38 @@
         known_nodes: 1_000,
         requests_per_s: 2_000,
         skew: 0.3,
+        bursts: &[],
         min_retry_share: 0.17,
     },
+    Fleet {
+        name: "16 nodes, two bursts in less than a window",
+        nodes: 16,
+        known_nodes: 16,
+        requests_per_s: 400,
+        skew: 0.3,
+        bursts: &[10_900, 20_000],
+        min_retry_share: 0.05,
+    },
 ];
 
+/// Length of a burst of retries, in milliseconds.
+const BURST_MS: u64 = 100;
+
+/// Retries that are tried for each request of a burst.
+const TRIES_IN_BURST: usize = 40;
+
+impl Fleet {
+    /// Returns how often a request that arrives at `ms` is retried if the budget allows it.
+    fn tries(&self, ms: u64) -> usize {
+        let in_burst = |start: &u64| (*start..start + BURST_MS).contains(&ms);
+        match self.bursts {
+            [] => 1,
+            bursts if bursts.iter().any(in_burst) => TRIES_IN_BURST,
+            _ => 0,
+        }
+    }
+}
+
 /// Simulates a fleet. Returns the times of its requests and of its retries, in milliseconds.
 fn simulate(fleet: &Fleet) -> (Vec<u64>, Vec<u64>) {
     let service = ServiceName::new("s");
@@ -91,8 +126,10 @@
             };
             nodes[node].record_request(&service, now);
             requests.push(ms);
-            if nodes[node].take(&service, now) {
-                retries.push(ms);
+            for _ in 0..fleet.tries(ms) {
+                if nodes[node].take(&service, now) {
+                    retries.push(ms);
+                }
             }
         }
         if ms % 5_000 == 0 {
