Count the sub-calls of repeated runs against the retry budget

Cause: retries were counted by request id. A repeated run makes its sub-calls again with ids of their own, which are repeats at the called service; they drew on no budget and even raised it, as requests.

Fix: runs are marked as repeated, and the node beside the target counts the sub-calls that they make on average against its budgets for the called services, and passes the mark on with as many sub-calls. A retry for whose sub-calls there is no room is refused before it runs; sub-calls never are.

--- a/src/call.rs
+++ b/src/call.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// Whether a run repeats work that was done, or tried, before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repetition {
+    /// First attempt of a request.
+    None,
+    /// Further attempt of a request that reached a target before.
+    Retry,
+    /// First attempt of a sub-call that is attributed to a repeated run.
+    Inherited,
+}
+
 /// Hash bucket of a request, from 0 to [`COHORTS`] - 1. Lower cohorts are shed last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Cohort(pub u16);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -33,6 +33,7 @@
 pub mod poison;
 pub mod queue;
 pub mod reader;
+pub mod repeated_calls;
 pub mod retries;
 pub mod retry_after;
 pub mod retry_budget;
--- a/src/coordination/retry_budget.rs
+++ b/src/coordination/retry_budget.rs
@@ -40,7 +40,8 @@
     /// Number of the newest slice since time zero.
     slice: u64,
     requests: [u32; SLICES],
-    retries: [u32; RETRY_SLICES],
+    /// Retries and expected sub-calls of repeated runs.
+    retries: [f64; RETRY_SLICES],
 }
 
 impl Counts {
@@ -50,13 +51,13 @@
         self.slice = slice.max(self.slice);
         for started in (self.slice - passed + 1)..=self.slice {
             *at(&mut self.requests, started) = 0;
-            *at(&mut self.retries, started) = 0;
+            *at(&mut self.retries, started) = 0.0;
         }
     }
 }
 
 /// Returns the count of a slice.
-fn at(counts: &mut [u32], slice: u64) -> &mut u32 {
+fn at<T>(counts: &mut [T], slice: u64) -> &mut T {
     let index = (slice % counts.len() as u64) as usize;
     &mut counts[index]
 }
@@ -91,18 +92,34 @@
 
     /// Takes one retry from the budget and returns whether there was one.
     pub fn take(&mut self, service: &ServiceName, now: Time) -> bool {
-        let share = self.share;
-        let slack = self.slack;
-        let counts = self.counts(service, now);
-        let requests: u32 = counts.requests.iter().sum();
-        let retries: u32 = counts.retries.iter().sum();
-        let allowed = f64::from(retries + 1) <= f64::from(requests) * share + slack;
+        let allowed = self.left(service, now) + self.slack >= 1.0;
         if allowed {
-            *at(&mut counts.retries, counts.slice) += 1;
+            self.record_repeated(service, 1.0, now);
         }
         allowed
     }
 
+    /// Returns whether the budget has room for `calls` further calls on a service. The slack does
+    /// not count: one retry may make many sub-calls, whose services have only their own slack.
+    pub fn has_room(&mut self, service: &ServiceName, calls: f64, now: Time) -> bool {
+        self.left(service, now) >= calls
+    }
+
+    /// Counts calls that are repeated whether or not the budget allows it.
+    pub fn record_repeated(&mut self, service: &ServiceName, calls: f64, now: Time) {
+        let counts = self.counts(service, now);
+        *at(&mut counts.retries, counts.slice) += calls;
+    }
+
+    /// Returns the retries that are left of the share of the requests, without the slack.
+    fn left(&mut self, service: &ServiceName, now: Time) -> f64 {
+        let share = self.share;
+        let counts = self.counts(service, now);
+        let requests: u32 = counts.requests.iter().sum();
+        let retries: f64 = counts.retries.iter().sum();
+        f64::from(requests) * share - retries
+    }
+
     /// Returns the counts of a service, with expired slices cleared.
     fn counts(&mut self, service: &ServiceName, now: Time) -> &mut Counts {
         let slice_us = self.slice_duration.as_micros().max(1) as u64;
--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -48,6 +48,18 @@
     pub weighted_services: Vec<WeightedService>,
 }
 
+impl Route {
+    /// Returns the services of the route with their shares of its requests.
+    pub fn service_shares(&self) -> Vec<(ServiceName, f64)> {
+        let total: u32 = self.weighted_services.iter().map(|s| s.weight).sum();
+        let share = |weight: u32| f64::from(weight) / f64::from(total.max(1));
+        let services = self.weighted_services.iter();
+        services
+            .map(|s| (s.service.clone(), share(s.weight)))
+            .collect()
+    }
+}
+
 /// Converts the priority of a route, of which 0 is the highest, to the priority of its root
 /// requests in the admission queue.
 ///
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::call::Repetition;
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
@@ -20,7 +21,7 @@
 
 /// Version of the message format. A node closes a connection that was opened by a node with another
 /// version.
-pub const FRAME_VERSION: u16 = 3;
+pub const FRAME_VERSION: u16 = 4;
 
 /// Size limit of one message, in bytes.
 const MAX_FRAME_BYTES: usize = 80 * 1024 * 1024;
@@ -50,6 +51,8 @@
     pub idempotent: bool,
     /// Whether the request is known to come from a caller and not from a target.
     pub is_root: bool,
+    /// Whether the run is a repeated one.
+    pub repetition: Repetition,
     /// Request id, as the caller sent it.
     pub id: String,
     /// Service of the instance at whose node the request entered the fleet.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 
 use crate::call::Priority;
+use crate::call::Repetition;
 use crate::clock::Time;
 use crate::coordination::hold;
 use crate::coordination::hold::HOLD_PAUSE;
@@ -59,6 +60,8 @@
     id: &'a str,
     service: ServiceName,
     is_root: bool,
+    /// Whether the request is attributed to a repeated run of the local target.
+    inherits_repetition: bool,
     arrived: Time,
     deadline: Time,
     /// Whether the request may be running. While it may, it must not be reported as not run.
@@ -112,6 +115,9 @@
     arrived: Time,
 ) -> Option<Call<'a>> {
     let service = relay.coordination().split.next(route)?;
+    let is_root = relay.coordination().downstream_ratios.is_root(&route.name);
+    let repeated_calls = &mut relay.coordination().repeated_calls;
+    let inherits_repetition = !is_root && repeated_calls.take(&route.name, arrived);
     let remaining = caller_timeout.map_or(route.timeout, |caller_timeout| {
         caller_timeout.min(route.timeout)
     });
@@ -121,7 +127,8 @@
         request,
         id,
         service,
-        is_root: relay.coordination().downstream_ratios.is_root(&route.name),
+        is_root,
+        inherits_repetition,
         arrived,
         deadline: arrived.plus(remaining),
         possibly_running: AtomicBool::new(false),
@@ -229,11 +236,11 @@
     /// The error of the last attempt, or an unknown outcome if any attempt had one. It is returned
     /// once the instances, the retries or the time are used up, or the request must not run again.
     async fn dispatch(&self) -> Result<CallerResponse, ErrorKind> {
-        let now = self.relay.now();
-        self.relay
-            .coordination()
-            .retry_budget
-            .record_request(&self.service, now);
+        if !self.inherits_repetition {
+            let now = self.relay.now();
+            let retry_budget = &mut self.relay.coordination().retry_budget;
+            retry_budget.record_request(&self.service, now);
+        }
         loop {
             match self.try_instances().await {
                 Err(ErrorKind::NotRun(kind)) if self.may_hold(kind) => {
@@ -272,7 +279,7 @@
                 Choice::Unavailable(_) => return Err(last_error),
             };
             tried.push(pick.instance.name.clone());
-            let reply = self.attempt(&pick).await;
+            let reply = self.attempt(&pick, self.repetition(counted_attempts)).await;
             match reply.outcome {
                 RunOutcome::Completed {
                     status,
@@ -307,6 +314,15 @@
         Err(last_error)
     }
 
+    /// Returns whether the next attempt is a repeated run, after `counted_attempts`.
+    fn repetition(&self, counted_attempts: u32) -> Repetition {
+        match (counted_attempts, self.inherits_repetition) {
+            (0, false) => Repetition::None,
+            (0, true) => Repetition::Inherited,
+            _ => Repetition::Retry,
+        }
+    }
+
     /// Takes a retry from the budget of the service, if the route allows a further attempt. Returns
     /// whether the request may be retried.
     fn take_retry(&self, counted_attempts: u32) -> bool {
@@ -378,7 +394,7 @@
         })
     }
 
-    async fn attempt(&self, pick: &Pick) -> Reply {
+    async fn attempt(&self, pick: &Pick, repetition: Repetition) -> Reply {
         let now = self.relay.now();
         self.relay
             .coordination()
@@ -386,7 +402,7 @@
             .record_attempt_start(pick, now);
         let mut guard = AttemptGuard::new(self.relay, self.route, &self.service, pick, now);
         self.possibly_running.store(true, Ordering::Relaxed);
-        let req = self.run_request(pick, now);
+        let req = self.run_request(pick, repetition, now);
         let reply = match self.is_local(pick) {
             true => Reply {
                 outcome: run::run_locally(self.relay, req, now).await,
@@ -402,7 +418,7 @@
         pick.instance.peer.ip() == self.relay.cfg().peers.ip()
     }
 
-    fn run_request(&self, pick: &Pick, now: Time) -> RunRequest {
+    fn run_request(&self, pick: &Pick, repetition: Repetition, now: Time) -> RunRequest {
         let header_names = self.relay.header_names();
         let head = &self.request.head;
         let forwarded = head
@@ -420,6 +436,7 @@
             priority: self.route.priority,
             idempotent: self.route.idempotent,
             is_root: self.is_root,
+            repetition,
             id: self.id.to_owned(),
             caller_service: self.relay.cfg().service.to_string(),
             method: head.method.clone(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod peer_connection;
 pub mod peer_server;
 pub mod reader_sync;
+mod repeated_run;
 pub mod response;
 mod response_writer;
 pub mod run;
@@ -57,6 +58,7 @@
 use crate::coordination::link_budget::LinkConfig;
 use crate::coordination::origin::RequestOrigins;
 use crate::coordination::poison::Suspects;
+use crate::coordination::repeated_calls::RepeatedCalls;
 use crate::coordination::retry_budget::RetryBudget;
 use crate::coordination::root_admission::RootAdmission;
 use crate::coordination::route::TrafficSplit;
@@ -136,6 +138,8 @@
     pub origins: RequestOrigins,
     /// Estimated sub-calls per run of the local target.
     pub fanout: FanoutEstimator,
+    /// Sub-calls that repeated runs of the local target are expected to make.
+    pub repeated_calls: RepeatedCalls,
     /// Requests suspected of crashing targets.
     pub suspects: Suspects,
     /// Detects crashes of the local target.
@@ -224,6 +228,7 @@
             root_admission: RootAdmission::default(),
             origins: RequestOrigins::default(),
             fanout: FanoutEstimator::default(),
+            repeated_calls: RepeatedCalls::default(),
             suspects: Suspects::new(),
             crash_detector: CrashDetector::default(),
             rng,
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -127,6 +127,7 @@
     if deadline.since(now) < MIN_REMAINING {
         return Err(NotRunKind::DeadlineInQueue);
     }
+    relay.start_repeated_run(req, now)?;
     let route: Arc<str> = Arc::from(req.route.as_str());
     relay.coordination().fanout.record_run_start(&route, now);
     Ok(AdmittedRun {
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -1,5 +1,6 @@
 //! Encoding of messages between nodes: round trips, malformed input and the size overhead.
 
+use dragonflylead::call::Repetition;
 use dragonflylead::error::NotRunKind;
 use dragonflylead::instance::InstanceName;
 use dragonflylead::protocol::frame;
@@ -26,6 +27,7 @@
         priority: 2,
         idempotent: true,
         is_root: true,
+        repetition: Repetition::None,
         id: "9c41d07be2a35f68".to_owned(),
         caller_service: "huvo11a".to_owned(),
         method: "GET".to_owned(),
--- a/tests/silent_node.rs
+++ b/tests/silent_node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dragonflylead::call::Repetition;
 use dragonflylead::error::UnknownKind;
 use dragonflylead::instance::InstanceName;
 use dragonflylead::protocol::frame;
@@ -33,6 +34,7 @@
         priority: 0,
         idempotent,
         is_root: true,
+        repetition: Repetition::None,
         id: "1".to_owned(),
         caller_service: "a".to_owned(),
         method: "POST".to_owned(),
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -47,6 +47,7 @@
     pub(crate) address: SocketAddr,
     name: Arc<Mutex<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
+    outbound: Arc<Mutex<Option<SocketAddr>>>,
     silenced_at: Arc<Mutex<Option<Instant>>>,
     task: JoinHandle<()>,
 }
@@ -69,6 +70,8 @@
     fn serve(listener: TcpListener, name: &str) -> PlainTarget {
         let address = listener.local_addr().unwrap();
         let crash: Arc<Notify> = Arc::default();
+        let outbound: Arc<Mutex<Option<SocketAddr>>> = Arc::default();
+        let shared_outbound = outbound.clone();
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let recorded = runs.clone();
         let silenced_at: Arc<Mutex<Option<Instant>>> = Arc::default();
@@ -84,10 +87,10 @@
                 };
                 let (name, recorded, silence_time) =
                     (shared_name.clone(), recorded.clone(), silence_time.clone());
-                let crash = crash.clone();
+                let (crash, outbound) = (crash.clone(), shared_outbound.clone());
                 let opened = Instant::now();
                 served.spawn(async move {
-                    let serving = serve(stream, name, recorded, crash);
+                    let serving = serve(stream, name, recorded, crash, outbound);
                     tokio::pin!(serving);
                     tokio::select! {
                         () = &mut serving => return,
@@ -102,6 +105,7 @@
             address,
             name,
             runs,
+            outbound,
             silenced_at,
             task,
         }
@@ -112,6 +116,11 @@
         name.clone_into(&mut self.name.lock().unwrap());
     }
 
+    /// Sets the address to which the target sends its sub-calls.
+    pub(crate) fn set_outbound(&self, address: SocketAddr) {
+        *self.outbound.lock().unwrap() = Some(address);
+    }
+
     /// Makes the target ignore all open connections from now on. New connections work.
     pub(crate) fn silence_open_connections(&self) {
         *self.silenced_at.lock().unwrap() = Some(Instant::now());
@@ -154,6 +163,7 @@
     name: Arc<Mutex<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
     crash: Arc<Notify>,
+    outbound: Arc<Mutex<Option<SocketAddr>>>,
 ) {
     let mut buf = BytesMut::new();
     while let Some((head, body)) = read(&mut stream, &mut buf).await {
@@ -193,6 +203,13 @@
             runs.lock().unwrap()[at].abandoned = true;
             return;
         }
+        if let Some((first, called)) = head.path().split_once("calls/") {
+            let outbound = outbound.lock().unwrap().unwrap();
+            call(outbound, &format!("/{called}"), &format!("{id}@{name}")).await;
+            if first.ends_with("lost-") {
+                return;
+            }
+        }
         if head.path().contains("/crash") {
             crash.notify_one();
             return std::future::pending().await;
@@ -203,6 +220,18 @@
     }
 }
 
+/// Makes a sub-call on a connection of its own, and waits for its end.
+async fn call(outbound: SocketAddr, path: &str, id: &str) {
+    let mut stream = TcpStream::connect(outbound).await.unwrap();
+    let text = format!(
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\n{}: {id}\r\nConnection: close\r\n\r\n",
+        HEADER_NAMES.request_id
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.ok();
+}
+
 /// Waits for the time in the path, `/wait-MS`. Returns false if the connection is closed meanwhile.
 async fn wait(stream: &mut TcpStream, buf: &mut BytesMut, path: &str) -> bool {
     let Some(ms) = path.split("/wait-").nth(1) else {
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -225,6 +225,14 @@
     /// Starts a node with a target for each of `services`, in order, and waits until all nodes are
     /// ready and know each other. The loopback addresses are 127.0.`block`.1 and up.
     pub(crate) async fn start(block: u8, services: &[&str]) -> RelayFleet {
+        RelayFleet::start_with(block, services, |_| ()).await
+    }
+
+    /// As [`RelayFleet::start`], with settings that `change` has changed.
+    pub(crate) async fn start_with<F>(block: u8, services: &[&str], change: F) -> RelayFleet
+    where
+        F: Fn(&mut RelayConfig),
+    {
         let store = FakeStore::default();
         let mut distinct = services.to_vec();
         distinct.dedup();
@@ -235,7 +243,9 @@
             let ip = format!("127.0.{block}.{}", at + 1);
             let name = InstanceName::new(&format!("{service}-{at}"));
             let target = PlainTarget::start(&ip, name.as_str()).await;
-            let cfg = config(&ip, service, peer_port, target.address);
+            let mut cfg = config(&ip, service, peer_port, target.address);
+            change(&mut cfg);
+            target.set_outbound(cfg.outbound);
             store.change(|targets| targets.push(target_entry(&cfg, &name)));
             let reader = store.reader(cfg.name.as_str());
             let outbound = cfg.outbound;
