Do not take a copied refusal for the response to the same request sent again

Operators of other systems saw: a target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or such a request ran twice (TWICE).

Cause: responses are matched by id, but a held request can be sent to the same target again, on the connection on which it was refused, so that a copy of its first refusal matches.

Evidence: a_second_copy_of_a_refusal_does_not_answer_the_same_request_sent_again fails before: 'refused 503' instead of 'answered 200'.

Fix: a connection does not carry an id again that was refused on it. The pool of idle connections is a module of its own. Tested besides: a connection is reused after other refusals, and a response that is cut off at any byte of its head or body is lost (reported too; passes before as well).

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod caller_server;
 pub mod header_names;
+mod idle_connections;
 pub mod lifecycle;
 mod load_report;
 mod local_target;
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,6 +22,8 @@
 use crate::http1::write;
 use crate::relay::body_memory::BodyMemory;
 use crate::relay::header_names::HeaderNames;
+use crate::relay::idle_connections::IdleConnections;
+use crate::relay::idle_connections::TargetConnection;
 use crate::relay::socket;
 
 /// Limit on the head of a response, in bytes.
@@ -32,19 +33,9 @@
 /// expected one.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 
-/// Limit on the idle connections in the pool.
-const MAX_IDLE_CONNECTIONS: usize = 128;
-
 /// Keep-alive time of a connection, if the target states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
-/// Share of the keep-alive time after which an idle connection is not used again.
-const REUSE_SHARE: f64 = 0.6;
-
-/// Share of the keep-alive time after which an idle connection is not used for non-idempotent
-/// requests.
-const FRESH_SHARE: f64 = 0.3;
-
 /// Timeout of a connection attempt to the target, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -110,26 +101,12 @@
     },
 }
 
-/// A connection to the target that carries a request.
-struct Connection {
-    stream: TcpStream,
-    /// Whether it carried other requests before.
-    reused: bool,
-}
-
-#[derive(Debug)]
-struct IdleConnection {
-    stream: TcpStream,
-    idle_since: Instant,
-    keep_alive: Duration,
-}
-
 /// HTTP client with a pool of idle connections to the target.
 #[derive(Debug)]
 pub struct TargetClient {
     header_names: HeaderNames,
     body_memory: BodyMemory,
-    idle: Mutex<Vec<IdleConnection>>,
+    idle: IdleConnections,
 }
 
 impl TargetClient {
@@ -138,18 +115,18 @@
         TargetClient {
             header_names,
             body_memory,
-            idle: Mutex::default(),
+            idle: IdleConnections::default(),
         }
     }
 
     /// Closes all idle connections, for when the target is gone or another one uses its address.
     pub fn clear_idle(&self) {
-        self.lock().clear();
+        self.idle.clear();
     }
 
     /// Sends a request and reads its response. Dropping the future closes the connection.
     pub async fn run(&self, address: SocketAddr, request: &TargetRequest) -> TargetOutcome {
-        let mut connection = match self.connection(address, request.idempotent).await {
+        let mut connection = match self.connection(address, request).await {
             Ok(connection) => connection,
             Err(e) => return TargetOutcome::Unsent(e),
         };
@@ -164,11 +141,14 @@
             Ok(read) => read,
             Err(outcome) => return outcome,
         };
-        if whole_request_sent && read.reusable {
-            self.push_idle(connection.stream, read.keep_alive);
-        }
         let refused = read.response.status == 421
             || head::find_header(&read.response.headers, self.header_names.not_run).is_some();
+        if refused {
+            connection.record_refusal(&request.id);
+        }
+        if whole_request_sent && read.reusable {
+            self.idle.put(connection, read.keep_alive);
+        }
         match refused {
             true => TargetOutcome::Refused(read.response),
             false => TargetOutcome::Answered(read.response),
@@ -179,7 +159,7 @@
     /// written. Returns whether the whole request was written, and the response.
     async fn send_and_receive(
         &self,
-        connection: &mut Connection,
+        connection: &mut TargetConnection,
         request: &TargetRequest,
     ) -> (bool, Result<ReadResponse, TargetOutcome>) {
         let mut out = Vec::with_capacity(512 + request.body.len());
@@ -206,27 +186,15 @@
         }
     }
 
-    async fn connection(&self, address: SocketAddr, idempotent: bool) -> io::Result<Connection> {
-        while let Some(idle) = self.pop_idle() {
-            let share = match idempotent {
-                true => REUSE_SHARE,
-                false => FRESH_SHARE,
-            };
-            let usable = idle.idle_since.elapsed() < idle.keep_alive.mul_f64(share);
-            if usable
-                && is_open_and_idle(&idle.stream)
-                && idle.stream.peer_addr().ok() == Some(address)
-            {
-                return Ok(Connection {
-                    stream: idle.stream,
-                    reused: true,
-                });
-            }
+    async fn connection(
+        &self,
+        address: SocketAddr,
+        request: &TargetRequest,
+    ) -> io::Result<TargetConnection> {
+        if let Some(idle) = self.idle.take(address, &request.id, request.idempotent) {
+            return Ok(idle);
         }
-        Ok(Connection {
-            stream: connect(address).await?,
-            reused: false,
-        })
+        Ok(TargetConnection::new(connect(address).await?))
     }
 
     /// Opens a connection to find out whether the target accepts any. It is kept for later
@@ -236,31 +204,11 @@
     ///
     /// If the connection cannot be made.
     pub async fn probe(&self, address: SocketAddr) -> io::Result<()> {
-        let stream = connect(address).await?;
-        self.push_idle(stream, DEFAULT_KEEP_ALIVE);
+        let connection = TargetConnection::new(connect(address).await?);
+        self.idle.put(connection, DEFAULT_KEEP_ALIVE);
         Ok(())
     }
 
-    fn pop_idle(&self) -> Option<IdleConnection> {
-        self.lock().pop()
-    }
-
-    fn push_idle(&self, stream: TcpStream, keep_alive: Duration) {
-        let mut idle = self.lock();
-        if idle.len() >= MAX_IDLE_CONNECTIONS {
-            idle.remove(0);
-        }
-        idle.push(IdleConnection {
-            stream,
-            idle_since: Instant::now(),
-            keep_alive,
-        });
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
-        self.idle.lock().unwrap_or_else(|p| p.into_inner())
-    }
-
     /// Reads the response to `request`, and skips interim responses and late responses to other
     /// requests.
     ///
@@ -375,9 +323,7 @@
 impl Drop for StaleIdleGuard<'_> {
     fn drop(&mut self) {
         if self.armed && self.sent_at.elapsed() >= SILENT_AFTER {
-            self.client
-                .lock()
-                .retain(|idle| idle.idle_since > self.sent_at);
+            self.client.idle.drop_idle_since(self.sent_at);
         }
     }
 }
@@ -418,9 +364,3 @@
         log::warn!(request:% = request, error:% = e; "a target that reads slowly may be cut off");
     }
 }
-
-/// Returns whether an idle connection is open and has no unread bytes.
-fn is_open_and_idle(stream: &TcpStream) -> bool {
-    let mut probe = [0; 1];
-    matches!(stream.try_read(&mut probe), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
--- a/tests/support/scripted_target.rs
+++ b/tests/support/scripted_target.rs
@@ -22,6 +22,8 @@
     Send(Vec<u8>),
     /// Sends bytes, and further ones after a pause.
     SendThenLater(Vec<u8>, Vec<u8>),
+    /// Sends bytes and closes the connection.
+    SendThenClose(Vec<u8>),
     /// Sends bytes and then nothing more, with the connection open.
     SendThenStall(Vec<u8>),
     /// Reads nothing for a time, then reads this many bytes of a body and sends a response.
@@ -123,6 +125,10 @@
                 counts.later_sent.store(true, Ordering::SeqCst);
                 true
             }
+            Reaction::SendThenClose(bytes) => {
+                send(&mut stream, &bytes, counts).await;
+                return;
+            }
             Reaction::SendThenStall(bytes) => {
                 send(&mut stream, &bytes, counts).await;
                 std::future::pending().await
--- a/tests/target_client.rs
+++ b/tests/target_client.rs
@@ -137,6 +137,81 @@
     }
 }
 
+/// Guards against a refusal that a target writes once more after the same request was sent to it again.
+/// The request would be reported as not run, or sent to another target, although it runs.
+#[tokio::test]
+async fn a_second_copy_of_a_refusal_does_not_answer_the_same_request_sent_again() {
+    let refusal = || response(503, Some("1"), true);
+    let target = ScriptedTarget::start(move |number| match number {
+        0 => Reaction::SendThenLater(refusal(), refusal()),
+        _ => Reaction::Send(response(200, Some("1"), false)),
+    })
+    .await;
+    let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+    for expected in ["refused 503", "answered 200"] {
+        let outcome = client
+            .run(target.address, &target_request("1", false))
+            .await;
+        assert_eq!(outcome_name(&outcome), expected);
+    }
+}
+
+/// Refusals must not cost a new connection each: other requests use the same one.
+#[tokio::test]
+async fn a_connection_is_reused_after_refusals_of_other_requests() {
+    let target = ScriptedTarget::start(|number| {
+        Reaction::Send(response(503, Some(&number.to_string()), true))
+    })
+    .await;
+    let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+    for number in 0..20 {
+        let req = target_request(&number.to_string(), false);
+        let outcome = client.run(target.address, &req).await;
+        assert_eq!(outcome_name(&outcome), "refused 503");
+    }
+    assert_eq!(target.connections(), 1);
+}
+
+/// A response that is cut off anywhere must not be taken for a whole one.
+#[tokio::test]
+async fn a_response_that_is_cut_off_anywhere_is_lost() {
+    let framings = [
+        "Content-Length: 4\r\n\r\nbody",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "\r\nbody",
+    ];
+    for framing in framings {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}: 1\r\n{}: s\r\n",
+            HEADER_NAMES.request_id, HEADER_NAMES.signature
+        );
+        let whole = format!("{head}{framing}").into_bytes();
+        // A response without a length is whole wherever its connection ends.
+        let first_whole = match framing.starts_with("\r\n") {
+            true => head.len() + 2,
+            false => whole.len(),
+        };
+        let sent = whole.clone();
+        let target =
+            ScriptedTarget::start(move |len| Reaction::SendThenClose(sent[..len].to_vec())).await;
+        let client = TargetClient::new(HEADER_NAMES, BodyMemory::new(BODY_MEMORY));
+        for len in 0..=whole.len() {
+            let outcome = client
+                .run(target.address, &target_request("1", false))
+                .await;
+            let expected = match len < first_whole {
+                true => "lost",
+                false => "answered 200",
+            };
+            assert_eq!(
+                outcome_name(&outcome),
+                expected,
+                "{len} bytes of {framing:?}"
+            );
+        }
+    }
+}
+
 /// A refusal on a new connection can only belong to its first request.
 #[tokio::test]
 async fn a_refusal_without_an_id_counts_on_a_new_connection() {
