Keep a closed connection until its caller has taken the last response

The places where a connection can end while its caller does not read were gone through one by one, and this one failed.

Cause: the node shut down its side, discarded input for 500 ms and closed the socket. The system answers later bytes with a reset, and a reset discards what the caller has not taken yet.

Fix: while the system says that the caller has not taken all bytes, the node goes on to discard what the caller sends, and the request counts as in progress. That is exact: it ends with the last byte taken, not with a time. It gives up after 30 s, as for other callers that read nothing.

--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -163,8 +163,9 @@
         }
     }
 
-    /// Reads and discards everything until the connection closes, for at most `limit`.
-    pub async fn discard_rest(&mut self, limit: Duration) {
+    /// Reads and discards everything until the connection closes, for at most `limit`. Returns
+    /// whether it closed.
+    pub async fn discard_rest(&mut self, limit: Duration) -> bool {
         let until_closed = async {
             loop {
                 self.buf.clear();
@@ -174,8 +175,7 @@
                 }
             }
         };
-        // The result is ignored: after the limit, the rest is left unread.
-        let _ = timeout(limit, until_closed).await;
+        timeout(limit, until_closed).await.is_ok()
     }
 
     /// Parses the buffered bytes. Returns `None` if more are needed.
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::time::Instant;
 
 use crate::coordination::route::CallerLimits;
 use crate::http1::head::MessageError;
@@ -29,6 +30,7 @@
 use crate::relay::metrics::InProgress;
 use crate::relay::response::CallerResponse;
 use crate::relay::response_writer::ResponseWriter;
+use crate::relay::response_writer::STALLED_AFTER;
 use crate::relay::run::ACCEPT_RETRY_DELAY;
 use crate::relay::socket;
 
@@ -38,7 +40,7 @@
 /// Limit on the body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Time that a caller has to read its last response before the connection is closed.
+/// Time for which a caller may go on to send after it has taken its last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for which a stopping node keeps an idle connection open, in case a request is in flight.
@@ -180,8 +182,8 @@
     /// be closed.
     fn write_finished(&mut self, phase: Phase) -> io::Result<()> {
         while !self.closing && !self.writer.is_writing() {
-            self.being_written = None;
             let Some(finished) = self.finished.pop_front() else {
+                self.being_written = None;
                 return Ok(());
             };
             let last = self.finished.is_empty() && self.pending.is_empty();
@@ -260,12 +262,21 @@
     }
 
     /// Shuts down the write side and discards what the caller still sends. A close with unread
-    /// bytes would reset the connection before the caller has read its last response.
+    /// bytes would reset the connection before the caller has read its last response, so that the
+    /// connection stays open until the caller has taken it, and a moment longer.
     async fn close(&mut self) -> io::Result<()> {
-        self.being_written = None;
         self.writer.shutdown().await?;
-        self.reader.discard_rest(CLOSE_TIMEOUT).await;
-        Ok(())
+        let give_up_at = Instant::now() + STALLED_AFTER;
+        loop {
+            let unread = self.writer.has_unread();
+            if !unread {
+                self.being_written = None;
+            }
+            let ended = self.reader.discard_rest(CLOSE_TIMEOUT).await;
+            if ended || !unread || Instant::now() >= give_up_at {
+                return Ok(());
+            }
+        }
     }
 }
 
--- a/src/relay/response_writer.rs
+++ b/src/relay/response_writer.rs
@@ -10,10 +10,11 @@
 
 use crate::http1::write;
 use crate::relay::response::CallerResponse;
+use crate::relay::socket;
 
 /// Time without progress after which a caller that reads nothing counts as gone. It is longer than
 /// callers wait for responses.
-const STALLED_AFTER: Duration = Duration::from_secs(30);
+pub(super) const STALLED_AFTER: Duration = Duration::from_secs(30);
 
 /// Interim response to a request that expects one before it sends its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -43,6 +44,11 @@
         self.written < self.out.len()
     }
 
+    /// Returns whether the caller has not yet taken all bytes that were written.
+    pub(super) fn has_unread(&self) -> bool {
+        socket::unsent_bytes(self.wr.as_ref()) > 0
+    }
+
     /// Starts to write a response. `close` adds `Connection: close`.
     ///
     /// # Errors
--- a/src/relay/socket.rs
+++ b/src/relay/socket.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustix::ioctl;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
@@ -65,6 +66,17 @@
     SockRef::from(stream).set_tcp_user_timeout(time)
 }
 
+/// Request code of the number of bytes that the other side has not taken yet, `TIOCOUTQ` of Linux.
+const UNSENT_BYTES: ioctl::Opcode = 0x5411;
+
+/// Returns the number of written bytes that the other side has not taken yet, or 0 if that is not
+/// known.
+pub fn unsent_bytes(stream: &TcpStream) -> usize {
+    // SAFETY: the kernel writes one `int` for this request code.
+    let unsent = unsafe { ioctl::ioctl(stream, ioctl::Getter::<UNSENT_BYTES, i32>::new()) };
+    unsent.map_or(0, |bytes| usize::try_from(bytes).unwrap_or_default())
+}
+
 /// Listens at `address`. `SO_REUSEADDR` lets it succeed while connections of an earlier process are
 /// still being closed.
 ///
--- a/tests/relays/slow_readers.rs
+++ b/tests/relays/slow_readers.rs
@@ -75,6 +75,98 @@
     futures_util::future::join_all(callers).await;
 }
 
+/// Length of a response that fits into the send buffer of the node but not into the receive buffer
+/// of the caller, in bytes.
+const MEDIUM_BODY: usize = 300_000;
+
+/// Guards against responses that are lost because the node closes the connection while the caller
+/// has not read the last one, and resets it for what the caller sends afterwards.
+#[tokio::test]
+async fn a_last_response_is_read_after_the_caller_has_sent_more() {
+    struct Case {
+        name: &'static str,
+        closes: bool,
+        stops: bool,
+    }
+    let cases = [
+        Case {
+            name: "the caller announced its last request",
+            closes: true,
+            stops: false,
+        },
+        Case {
+            name: "the node stops",
+            closes: false,
+            stops: true,
+        },
+    ];
+    for (at, case) in cases.iter().enumerate() {
+        let mut fleet = RelayFleet::start(80 + at as u8, &["a", "b"]).await;
+        fleet.allow_bodies_up_to(LONG_BODY, &["a", "b"]).await;
+        let mut caller = connect_with_small_buffer(fleet.members[0].outbound).await;
+        let mut first = request("GET", "/b/wait-300/x", "last", &vec![b'x'; MEDIUM_BODY]);
+        if case.closes {
+            let head_end = first.windows(2).position(|w| w == b"\r\n").unwrap() + 2;
+            first.splice(head_end..head_end, *b"Connection: close\r\n");
+        }
+        caller.send(&first).await;
+        fleet.wait_until(|fleet| fleet.count("last") == 1).await;
+        let stopping = case.stops.then(|| {
+            let node = fleet.members.remove(0).node;
+            tokio::spawn(node.stop())
+        });
+        // The response has been written and the connection shut down by then.
+        sleep(PAUSE / 2).await;
+        let sent = caller.try_send(&request("GET", "/b/x", "more", b"")).await;
+        assert!(sent.is_ok(), "{}: connection was reset", case.name);
+        sleep(PAUSE / 4).await;
+        let response = caller.next_response().await;
+        let len = response.map(|response| response.body.len());
+        assert_eq!(len, Some(MEDIUM_BODY), "{}", case.name);
+        if let Some(stopping) = stopping {
+            stopping.await.unwrap();
+        }
+    }
+}
+
+/// Sizes of responses, receive buffers of callers, in bytes, and times for which they do not read.
+const BODIES: [usize; 4] = [1, 3_000, 36_000, 300_000];
+const BUFFERS: [u32; 4] = [1_024, 4_096, 16_384, 65_536];
+const PAUSES_MS: [u64; 3] = [200, 2_000, 4_700];
+
+/// Guards against clocks of the node or the system that run out before the caller's deadline.
+#[tokio::test]
+async fn callers_of_all_kinds_may_pause() {
+    let fleet = RelayFleet::start(79, &["a", "b"]).await;
+    fleet.allow_bodies_up_to(LONG_BODY, &["a", "b"]).await;
+    let mut callers = Vec::new();
+    for body in BODIES {
+        for buffer in BUFFERS {
+            for pause in PAUSES_MS {
+                let address = fleet.members[0].outbound;
+                callers.push(async move {
+                    let name = format!("{body} bytes, buffer of {buffer}, pause of {pause} ms");
+                    let socket = TcpSocket::new_v4().unwrap();
+                    socket.set_recv_buffer_size(buffer).unwrap();
+                    let mut caller = Caller::new(socket.connect(address).await.unwrap());
+                    for path in ["/a/x", "/b/x"] {
+                        let id = format!("{name} {path}");
+                        let sent = request("GET", path, &id, &vec![b'x'; body]);
+                        caller.send(&sent).await;
+                    }
+                    sleep(Duration::from_millis(pause)).await;
+                    for _ in 0..2 {
+                        let response = caller.next_response().await;
+                        let read = response.map(|r| (r.status, r.body.len()));
+                        assert_eq!(read, Some((200, body)), "{name}");
+                    }
+                });
+            }
+        }
+    }
+    futures_util::future::join_all(callers).await;
+}
+
 /// Guards against slots that are held by the requests behind a response that is not read.
 #[tokio::test]
 async fn requests_behind_an_unread_response_release_their_slots() {
