--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod attempts;
 pub mod backpressure;
 pub mod call_options;
+pub mod caller_eviction;
 pub mod concurrency_limit;
 pub mod config;
 pub mod control;
--- a/src/coordination/retry_after.rs
+++ b/src/coordination/retry_after.rs
@@ -36,3 +36,12 @@
 pub fn not_ready(remaining: Duration) -> Duration {
     NOT_READY_DELAY.min(remaining.mul_f64(MAX_SHARE_OF_REMAINING))
 }
+
+/// Returns a delay from half of `max_delay` up to all of it, so that callers that were refused
+/// together do not return together.
+pub fn spread<R>(max_delay: Duration, rng: &mut R) -> Duration
+where
+    R: Rng,
+{
+    max_delay.mul_f64(rng.random_range(0.5..=1.0))
+}
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -7,8 +7,13 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::memory::Body;
+
 const FINGERPRINT_BYTES: usize = 16;
 
+/// Limit on the bytes of a body that its fingerprint covers.
+pub const MAX_HASHED_BYTES: usize = 64 * 1024;
+
 /// Truncated SHA-256 hash over the parts of a request.
 ///
 /// It is infeasible to construct two different requests with the same fingerprint.
@@ -45,17 +50,27 @@
 }
 
 /// Computes the fingerprint of a request without its caller, service and headers, so that a request
-/// repeated at any node has the same fingerprint.
-pub fn of_content(method: &str, path: &str, body: &[u8]) -> Fingerprint {
-    let parts = RequestParts {
-        caller: "",
-        service: "",
-        method,
-        path,
-        headers: &[],
-        body,
-    };
-    parts.fingerprint()
+/// repeated at any node has the same fingerprint. Of a longer body, only the length and the first
+/// [`MAX_HASHED_BYTES`] count.
+pub fn of_content(method: &str, path: &str, body: &Body) -> Fingerprint {
+    let mut hash = Sha256::new();
+    hash_part(&mut hash, method.as_bytes());
+    hash_part(&mut hash, path.as_bytes());
+    hash.update((body.len() as u64).to_le_bytes());
+    let mut left = MAX_HASHED_BYTES;
+    for piece in body.pieces() {
+        let hashed = left.min(piece.len());
+        hash.update(&piece[..hashed]);
+        left -= hashed;
+    }
+    truncated(hash)
+}
+
+fn truncated(hash: Sha256) -> Fingerprint {
+    let digest = hash.finalize();
+    let mut bytes = [0; FINGERPRINT_BYTES];
+    bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
+    Fingerprint(bytes)
 }
 
 impl RequestParts<'_> {
@@ -68,10 +83,7 @@
         hash_part(&mut hash, self.path.as_bytes());
         self.hash_headers(&mut hash);
         hash_part(&mut hash, self.body);
-        let digest = hash.finalize();
-        let mut bytes = [0; FINGERPRINT_BYTES];
-        bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
-        Fingerprint(bytes)
+        truncated(hash)
     }
 
     /// Hashes the number of headers, then the headers sorted by lowercase name.
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -4,6 +4,8 @@
 use bytes::BytesMut;
 
 use crate::http1::head::MessageError;
+use crate::memory::Body;
+use crate::memory::BodyBuilder;
 
 /// Size limit of a chunk-size line and of a trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
@@ -33,7 +35,7 @@
 pub struct BodyDecoder {
     state: State,
     max_bytes: usize,
-    body: Vec<u8>,
+    body: BodyBuilder,
     /// Bytes of chunk-size lines and trailers so far.
     overhead: usize,
 }
@@ -63,7 +65,7 @@
         BodyDecoder {
             state,
             max_bytes,
-            body: Vec::new(),
+            body: BodyBuilder::default(),
             overhead: 0,
         }
     }
@@ -120,8 +122,8 @@
     }
 
     /// Returns the decoded body.
-    pub fn into_body(self) -> Vec<u8> {
-        self.body
+    pub fn into_body(self) -> Body {
+        self.body.finish()
     }
 
     /// Returns the number of body bytes decoded so far.
@@ -129,6 +131,15 @@
         self.body.len()
     }
 
+    /// Returns the number of body bytes that are known to follow: the rest of a body of known
+    /// length, or of a chunk.
+    pub fn remaining_len(&self) -> u64 {
+        match self.state {
+            State::Fixed(left) | State::ChunkData(left) => left,
+            _ => 0,
+        }
+    }
+
     /// Fails if `more` further bytes would exceed the size limit.
     fn check_size(&self, more: u64) -> Result<(), MessageError> {
         match more <= (self.max_bytes - self.body.len().min(self.max_bytes)) as u64 {
@@ -151,7 +162,7 @@
     /// Moves at most `max` bytes from `buf` to the body. Returns their number.
     fn consume(&mut self, buf: &mut BytesMut, max: u64) -> u64 {
         let len = (buf.len() as u64).min(max);
-        self.body.extend_from_slice(&buf[..len as usize]);
+        self.body.append(&buf[..len as usize]);
         buf.advance(len as usize);
         len
     }
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod head;
+pub mod progress;
 pub mod reader;
 pub mod write;
 
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -1,6 +1,7 @@
 //! Reading of requests from a connection.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Buf;
@@ -14,12 +15,28 @@
 use crate::http1::head;
 use crate::http1::head::MessageError;
 use crate::http1::head::RequestHead;
+use crate::http1::progress::ReadProgress;
+use crate::memory::Body;
+use crate::memory::MemoryBudget;
+use crate::memory::Reservation;
 
 /// Longest time from the first byte of a request to its last one.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
 
 /// Limit on the bytes that are buffered while only the end of the connection is awaited.
-const MAX_AHEAD_BYTES: usize = 64 * 1024;
+const MAX_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Room in the buffer for the next bytes of a head or a short body.
+const READ_BYTES: usize = 4 * 1024;
+
+/// Most room in the buffer for the next bytes of a long body.
+const LONG_READ_BYTES: usize = 32 * 1024;
+
+/// Memory of a parsed head per byte of its text: the text is copied into strings.
+const HEAD_MEMORY_FACTOR: usize = 2;
+
+/// Longest wait for memory before a request is refused.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(1_000);
 
 /// What happens to the bytes that arrive while only the end of the connection is awaited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +66,8 @@
 pub struct Request {
     /// Head of the request.
     pub head: RequestHead,
-    /// Body, without framing.
-    pub body: Vec<u8>,
+    /// Body, without framing. It holds the reservation for the memory of the whole request.
+    pub body: Body,
 }
 
 /// Reason for which no further request could be read.
@@ -65,6 +82,9 @@
     /// A request that had begun did not arrive in time.
     #[error("request did not arrive in time")]
     RequestTimeout,
+    /// The memory for the messages of callers is used up.
+    #[error("no memory for the request")]
+    NoMemory,
     /// The caller sent bytes that are not a valid request, or a request above a size limit.
     #[error(transparent)]
     Invalid(#[from] MessageError),
@@ -85,25 +105,47 @@
 pub struct RequestReader<R> {
     io: R,
     buf: BytesMut,
-    partial: Option<(RequestHead, BodyDecoder)>,
+    partial: Option<PartialRequest>,
     /// When the first byte of the current request was seen.
     begun_at: Option<Instant>,
+    /// When the current request began to wait for memory.
+    short_since: Option<Instant>,
+    /// Memory of the buffer and of the partial request.
+    reservation: Reservation,
+    progress: Arc<ReadProgress>,
+}
+
+/// A request whose head has been read.
+#[derive(Debug)]
+struct PartialRequest {
+    head: RequestHead,
+    decoder: BodyDecoder,
+    /// Memory of the parsed head, in bytes.
+    head_memory: usize,
 }
 
 impl<R> RequestReader<R>
 where
     R: AsyncRead + Unpin,
 {
-    /// Creates a reader for a new connection.
-    pub fn new(io: R) -> RequestReader<R> {
+    /// Creates a reader for a new connection, which reserves its memory from `budget`.
+    pub fn new(io: R, budget: &MemoryBudget) -> RequestReader<R> {
         RequestReader {
             io,
             buf: BytesMut::new(),
             partial: None,
             begun_at: None,
+            short_since: None,
+            reservation: budget.reserve(),
+            progress: Arc::default(),
         }
     }
 
+    /// Returns what is known of the transfer, also while a request is being read.
+    pub fn progress(&self) -> &Arc<ReadProgress> {
+        &self.progress
+    }
+
     /// Returns whether part of a request has been read.
     pub fn has_partial_request(&self) -> bool {
         self.partial.is_some() || !self.buf.is_empty()
@@ -123,24 +165,67 @@
                 true => (self.wait_for_rest(limits), ReadError::RequestTimeout),
                 false => (limits.idle_timeout, ReadError::IdleTimeout),
             };
+            self.reserve_room().await?;
             let read = timeout(wait, self.io.read_buf(&mut self.buf)).await;
             match read {
                 Err(_) => return Err(timeout_error),
                 Ok(Ok(0)) => return Err(ReadError::Closed(io::ErrorKind::UnexpectedEof.into())),
-                Ok(Ok(_)) => (),
+                Ok(Ok(n)) => self.progress.record_received(n),
                 Ok(Err(e)) => return Err(ReadError::Closed(e)),
             }
         }
     }
 
+    /// Makes room in the buffer for the next bytes, once there is memory for them.
+    ///
+    /// # Errors
+    ///
+    /// If there is none for [`MAX_MEMORY_WAIT`].
+    async fn reserve_room(&mut self) -> Result<(), ReadError> {
+        // The bytes of a body are copied out of the buffer.
+        let (room, copied) = match &self.partial {
+            Some(partial) => {
+                let rest = usize::try_from(partial.decoder.remaining_len()).unwrap_or(usize::MAX);
+                let room = rest.clamp(READ_BYTES, LONG_READ_BYTES);
+                (room, room)
+            }
+            None => (READ_BYTES, 0),
+        };
+        let spare = self.buf.capacity() - self.buf.len();
+        let wanted = match spare >= room / 2 {
+            true => self.buf.capacity(),
+            false => self.buf.len() + room,
+        };
+        let needed = wanted + self.partial_memory() + copied;
+        if !self.reservation.extend_to(needed) {
+            let since = *self.short_since.get_or_insert_with(Instant::now);
+            let until = since + MAX_MEMORY_WAIT;
+            if !self.reservation.wait_to_extend(needed, until).await {
+                return Err(ReadError::NoMemory);
+            }
+        }
+        self.short_since = None;
+        self.progress.record_held(self.reservation.bytes());
+        if wanted > self.buf.capacity() {
+            self.buf.reserve(wanted - self.buf.len());
+        }
+        Ok(())
+    }
+
+    /// Returns the memory of the partial request, in bytes.
+    fn partial_memory(&self) -> usize {
+        let partial = self.partial.as_ref();
+        partial.map_or(0, |p| p.head_memory + p.decoder.decoded_len())
+    }
+
     /// Waits until the connection ends, without reading a request. Cancel safe. It never returns once
-    /// the bytes to keep have reached [`MAX_AHEAD_BYTES`].
+    /// the bytes to keep have reached [`MAX_AHEAD_BYTES`] or there is no memory for more.
     pub async fn closed(&mut self, ahead: Ahead) -> io::Error {
         loop {
             if ahead == Ahead::Discard {
                 self.buf.clear();
             }
-            if self.buf.len() >= MAX_AHEAD_BYTES {
+            if self.buf.len() >= MAX_AHEAD_BYTES || self.reserve_room().await.is_err() {
                 return std::future::pending().await;
             }
             match self.io.read_buf(&mut self.buf).await {
@@ -188,23 +273,42 @@
             self.buf.advance(len);
             let decoder = BodyDecoder::new(head.framing, limits.max_body_bytes);
             let awaits_continue = head.expects_continue && self.buf.is_empty();
-            self.partial = Some((head, decoder));
+            self.partial = Some(PartialRequest {
+                head,
+                decoder,
+                head_memory: len * HEAD_MEMORY_FACTOR,
+            });
             if awaits_continue {
                 return Ok(Some(Incoming::ExpectsContinue));
             }
         }
-        let Some((_, decoder)) = &mut self.partial else {
+        let Some(partial) = &mut self.partial else {
             return Ok(None);
         };
-        if !decoder.decode(&mut self.buf)? {
+        if !partial.decoder.decode(&mut self.buf)? {
             return Ok(None);
         }
         self.begun_at = None;
-        let request = self.partial.take().map(|(head, decoder)| Request {
-            head,
-            body: decoder.into_body(),
-        });
-        Ok(request.map(Box::new).map(Incoming::Request))
+        let memory = self.partial_memory();
+        let Some(partial) = self.partial.take() else {
+            return Ok(None);
+        };
+        self.release_buffer();
+        let reservation = self.reservation.split(memory);
+        self.reservation.shrink_to(self.buf.capacity());
+        self.progress.record_request(self.reservation.bytes());
+        let request = Request {
+            head: partial.head,
+            body: partial.decoder.into_body().with_reservation(reservation),
+        };
+        Ok(Some(Incoming::Request(Box::new(request))))
+    }
+
+    /// Frees a buffer that was enlarged for a long body.
+    fn release_buffer(&mut self) {
+        if self.buf.capacity() > LONG_READ_BYTES / 2 && self.buf.len() <= READ_BYTES {
+            self.buf = BytesMut::from(&self.buf[..]);
+        }
     }
 
     /// Skips empty lines before a request, as HTTP/1.1 advises servers to do.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load_generator;
 pub mod logs;
 pub mod measure;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod operator_commands;
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -12,8 +12,10 @@
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::fingerprint::Fingerprint;
 use crate::http1::Header;
 use crate::instance::InstanceName;
+use crate::memory::Body;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
 use crate::protocol::sync::KnownState;
@@ -21,10 +23,20 @@
 
 /// Version of the message format. A node closes a connection that was opened by a node with another
 /// version.
-pub const FRAME_VERSION: u16 = 4;
+pub const FRAME_VERSION: u16 = 5;
 
-/// Size limit of one message, in bytes.
-const MAX_FRAME_BYTES: usize = 80 * 1024 * 1024;
+/// Size limit of one message, in bytes. The longest are lists of targets.
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Size limit of the first message on a connection, in bytes.
+pub const MAX_HELLO_BYTES: usize = 64;
+
+/// Length up to which a body is sent within its message, in bytes. A longer one follows in
+/// [`Frame::Data`] messages.
+pub const MAX_INLINE_BODY: usize = 64 * 1024;
+
+/// Length of the part of a body in one [`Frame::Data`] message, in bytes.
+pub const DATA_BYTES: usize = 32 * 1024;
 
 /// Size of the length prefix of each message, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -65,9 +77,19 @@
     pub host: String,
     /// Headers to forward, except those that have a field of this message.
     pub headers: Vec<WireHeader>,
-    /// Request body, without framing.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
+    /// Request body, without framing. Empty in a message if `streamed` is set.
+    pub body: Body,
+    /// Set if the body follows in [`Frame::Data`] messages, as far as the receiver gives credit.
+    pub streamed: Option<StreamedBody>,
+}
+
+/// A request body that is not part of its message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamedBody {
+    /// Length in bytes.
+    pub len: u64,
+    /// Fingerprint of the request, which cannot be computed before the body is there.
+    pub fingerprint: Fingerprint,
 }
 
 /// An HTTP header in a message between nodes.
@@ -122,9 +144,8 @@
         signature: Option<String>,
         /// Headers to forward, without the request id and the signature.
         headers: Vec<WireHeader>,
-        /// Response body, without framing.
-        #[serde(with = "serde_bytes")]
-        body: Vec<u8>,
+        /// Response body, without framing. Empty in a message whose body is streamed.
+        body: Body,
     },
     /// The request was not run and will not be.
     NotRun {
@@ -159,6 +180,24 @@
         outcome: RunOutcome,
         /// Load of the replying instance.
         load: LoadReport,
+        /// Length of the response body in bytes, if it follows in [`Frame::Data`] messages once the
+        /// receiver gives credit.
+        streamed_len: Option<u64>,
+    },
+    /// The next part of a request or response body.
+    Data {
+        /// Number of the request.
+        number: u32,
+        /// The bytes, at most [`DATA_BYTES`].
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
+    /// The receiver of a body has room for more of it.
+    Credit {
+        /// Number of the request.
+        number: u32,
+        /// Number of bytes that may be sent in addition to earlier credit.
+        bytes: u64,
     },
     /// Keep-alive probe.
     Ping,
@@ -200,11 +239,11 @@
     },
 }
 
-/// Returns the codec that splits a byte stream into messages.
-pub fn codec() -> LengthDelimitedCodec {
+/// Returns the codec that splits a byte stream into messages of at most `max_bytes`.
+pub fn codec(max_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .length_field_length(LENGTH_BYTES)
-        .max_frame_length(MAX_FRAME_BYTES)
+        .max_frame_length(max_bytes)
         .new_codec()
 }
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -28,6 +28,7 @@
 use crate::http1::reader::Request;
 use crate::instance::InstanceName;
 use crate::instance::ServiceName;
+use crate::memory::Body;
 use crate::protocol::frame;
 use crate::protocol::frame::RunOutcome;
 use crate::protocol::frame::RunRequest;
@@ -405,7 +406,7 @@
         let req = self.run_request(pick, repetition, now);
         let reply = match self.is_local(pick) {
             true => Reply {
-                outcome: run::run_locally(self.relay, req, now).await,
+                outcome: run::run_locally(self.relay, req, None, now).await,
                 load: Some(self.relay.load_report(&self.route.name)),
             },
             false => self.relay.peer_client().run(pick.instance.peer, req).await,
@@ -444,6 +445,7 @@
             host: head.host.clone(),
             headers: frame::to_wire(&forwarded),
             body: self.request.body.clone(),
+            streamed: None,
         }
     }
 
@@ -458,7 +460,7 @@
         added.chain(rest).collect()
     }
 
-    fn forward_response(&self, status: u16, headers: Vec<Header>, body: Vec<u8>) -> CallerResponse {
+    fn forward_response(&self, status: u16, headers: Vec<Header>, body: Body) -> CallerResponse {
         log::info!(
             request:% = self.id, route:% = self.route.name, status = status,
             took_ms = self.took_ms();
--- a/src/relay/caller_server.rs
+++ b/src/relay/caller_server.rs
@@ -16,6 +16,8 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::Instant;
 
+use crate::coordination::caller_eviction::Activity;
+use crate::coordination::retry_after;
 use crate::coordination::route::CallerLimits;
 use crate::http1::head::MessageError;
 use crate::http1::reader::Ahead;
@@ -24,9 +26,12 @@
 use crate::http1::reader::ReadLimits;
 use crate::http1::reader::Request;
 use crate::http1::reader::RequestReader;
+use crate::memory::Body;
 use crate::relay::Phase;
 use crate::relay::Relay;
 use crate::relay::call;
+use crate::relay::caller_table::CallerEntry;
+use crate::relay::caller_table::Eviction;
 use crate::relay::metrics::InProgress;
 use crate::relay::response::CallerResponse;
 use crate::relay::response_writer::ResponseWriter;
@@ -37,8 +42,8 @@
 /// Limit on the requests of one connection that are in progress at once.
 const MAX_PIPELINED: usize = 32;
 
-/// Limit on the body of a request, in bytes.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Time after a request that was refused for want of memory before it should be sent again.
+const NO_MEMORY_RETRY: Duration = Duration::from_millis(1_000);
 
 /// Time for which a caller may go on to send after it has taken its last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -90,29 +95,46 @@
 async fn serve(relay: &Arc<Relay>, stream: TcpStream, from: IpAddr) -> io::Result<()> {
     socket::set_options(&stream)?;
     let (rd, wr) = stream.into_split();
+    let reader = RequestReader::new(rd, relay.memory());
+    let limit = relay.cfg().descriptors.callers();
+    let Some(registration) = relay.callers().register(reader.progress(), limit) else {
+        relay.metrics().record_caller_end("refused");
+        log::info!(caller:% = from, open = limit; "connection refused, too many are open");
+        return Ok(());
+    };
     let mut connection = Connection {
         relay,
         from,
-        reader: RequestReader::new(rd),
+        entry: registration.entry.clone(),
+        reader,
         writer: ResponseWriter::new(wr),
         pending: FuturesOrdered::new(),
         finished: VecDeque::new(),
         being_written: None,
+        writing_bytes: 0,
         closing: false,
     };
-    connection.serve().await
+    let result = tokio::select! {
+        result = connection.serve() => return result,
+        eviction = registration.entry.evicted() => connection.end(eviction),
+    };
+    result
 }
 
 struct Connection<'a> {
     relay: &'a Arc<Relay>,
     from: IpAddr,
+    entry: Arc<CallerEntry>,
     reader: RequestReader<OwnedReadHalf>,
     writer: ResponseWriter,
     pending: FuturesOrdered<PendingResponse<'a>>,
     /// Responses that wait for the caller to read earlier ones.
     finished: VecDeque<FinishedRequest>,
-    /// Counts the request whose response is being written as in progress.
-    being_written: Option<InProgress>,
+    /// Counts the request whose response is being written as in progress, and holds the memory of
+    /// that response.
+    being_written: Option<(InProgress, Body)>,
+    /// Length of the body of that response.
+    writing_bytes: usize,
     /// Whether the connection is closed after the response that is being written.
     closing: bool,
 }
@@ -127,6 +149,7 @@
             if self.closing && !self.writer.is_writing() {
                 return self.close().await;
             }
+            self.report();
             let limits = self.limits();
             let idle = self.is_idle();
             // A stopping node reads one request at a time, while none is in progress on the
@@ -166,6 +189,11 @@
                         self.reject(408, "request took too long");
                         last_request_read = true;
                     }
+                    Err(ReadError::NoMemory) => {
+                        log::info!(caller:% = self.from; "request refused, there is no memory for it");
+                        self.refuse_for_memory();
+                        last_request_read = true;
+                    }
                     Err(ReadError::Invalid(e)) => {
                         log::info!(caller:% = self.from, error:% = e; "request rejected");
                         self.reject(status_of(e), &e.to_string());
@@ -182,6 +210,7 @@
     /// be closed.
     fn write_finished(&mut self, phase: Phase) -> io::Result<()> {
         while !self.closing && !self.writer.is_writing() {
+            self.writing_bytes = 0;
             let Some(finished) = self.finished.pop_front() else {
                 self.being_written = None;
                 return Ok(());
@@ -192,7 +221,8 @@
                 response, is_head, ..
             } = &finished;
             self.writer.start(response, self.closing, *is_head)?;
-            self.being_written = Some(finished.in_progress);
+            self.writing_bytes = response.body.len();
+            self.being_written = Some((finished.in_progress, finished.response.body));
         }
         Ok(())
     }
@@ -224,10 +254,14 @@
 
     fn limits(&self) -> ReadLimits {
         let limits = self.relay.view().routes.as_ref().map(|t| t.limits);
-        let limits: CallerLimits = limits.unwrap_or_default();
+        // Until there is a configuration, no body is known to be too long.
+        let limits = limits.unwrap_or(CallerLimits {
+            max_body_bytes: usize::MAX,
+            ..CallerLimits::default()
+        });
         ReadLimits {
             max_head_bytes: limits.max_head_bytes,
-            max_body_bytes: limits.max_body_bytes.min(MAX_BODY_BYTES),
+            max_body_bytes: limits.max_body_bytes,
             head_timeout: limits.head_timeout,
             idle_timeout: limits.idle_timeout,
         }
@@ -251,7 +285,52 @@
     /// Queues an error response to a request that could not be read, after which the connection is
     /// closed.
     fn reject(&mut self, status: u16, reason: &str) {
-        let response = CallerResponse::from_node(status, reason);
+        self.reject_with(CallerResponse::from_node(status, reason));
+    }
+
+    /// Queues the response to a request for which there is no memory. It was not run.
+    fn refuse_for_memory(&mut self) {
+        let wait = {
+            let rng = &mut self.relay.coordination().rng;
+            retry_after::spread(NO_MEMORY_RETRY, rng)
+        };
+        self.relay.metrics().record_caller_end("no-memory");
+        let response = CallerResponse::from_node(503, "no memory for the request");
+        self.reject_with(response.with_retry_after(wait));
+    }
+
+    /// Tells the table what the connection does.
+    fn report(&self) {
+        let unread = self
+            .finished
+            .iter()
+            .map(|f| f.response.body.len())
+            .sum::<usize>()
+            + self.writing_bytes;
+        let activity = match self.writer.is_writing() {
+            true => Activity::Sending,
+            false if self.in_progress() > 0 => Activity::Running,
+            false if self.reader.has_partial_request() => Activity::Receiving,
+            false => Activity::Idle,
+        };
+        self.entry
+            .report(activity, unread, self.writer.progress_at());
+    }
+
+    /// Ends the connection at once, without its last responses.
+    fn end(&self, eviction: Eviction) -> io::Result<()> {
+        self.relay
+            .metrics()
+            .record_caller_end(&eviction.to_string());
+        log::info!(
+            caller:% = self.from, reason:% = eviction, unread = self.writing_bytes,
+            partial = self.reader.has_partial_request(), in_progress = self.in_progress();
+            "connection of a caller ended to free memory or descriptors"
+        );
+        Ok(())
+    }
+
+    fn reject_with(&mut self, response: CallerResponse) {
         self.pending
             .push_back(Box::pin(std::future::ready(FinishedRequest {
                 in_progress: self.relay.metrics().start_request(),
@@ -266,6 +345,10 @@
     /// connection stays open until the caller has taken it, and a moment longer.
     async fn close(&mut self) -> io::Result<()> {
         self.writer.shutdown().await?;
+        if self.being_written.is_none() && self.writer.has_unread() {
+            let in_progress = self.relay.metrics().start_request();
+            self.being_written = Some((in_progress, Body::default()));
+        }
         let give_up_at = Instant::now() + STALLED_AFTER;
         loop {
             let unread = self.writer.has_unread();
--- a/src/relay/idle_connections.rs
+++ b/src/relay/idle_connections.rs
@@ -9,7 +9,7 @@
 
 use tokio::net::TcpStream;
 
-/// Limit on the idle connections in the pool.
+/// Limit on the idle connections in a pool.
 const MAX_IDLE_CONNECTIONS: usize = 128;
 
 /// Share of the keep-alive time after which an idle connection is not used again.
@@ -71,10 +71,21 @@
 }
 
 /// Pool of idle connections to the target.
-#[derive(Debug, Default)]
-pub(super) struct IdleConnections(Mutex<Vec<IdleConnection>>);
+#[derive(Debug)]
+pub(super) struct IdleConnections {
+    idle: Mutex<Vec<IdleConnection>>,
+    max: usize,
+}
 
 impl IdleConnections {
+    /// Builds an empty pool for at most `max` connections, and at most [`MAX_IDLE_CONNECTIONS`].
+    pub(super) fn new(max: usize) -> IdleConnections {
+        IdleConnections {
+            idle: Mutex::default(),
+            max: max.min(MAX_IDLE_CONNECTIONS),
+        }
+    }
+
     /// Takes the connection to `address` that was used last and can carry the request `id`. Those
     /// that cannot be used any more are closed.
     pub(super) fn take(
@@ -102,7 +113,7 @@
             return;
         }
         let mut idle = self.lock();
-        if idle.len() >= MAX_IDLE_CONNECTIONS {
+        if idle.len() >= self.max {
             idle.remove(0);
         }
         idle.push(IdleConnection {
@@ -123,7 +134,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
-        self.0.lock().unwrap_or_else(|p| p.into_inner())
+        self.idle.lock().unwrap_or_else(|p| p.into_inner())
     }
 }
 
--- a/src/relay/lifecycle.rs
+++ b/src/relay/lifecycle.rs
@@ -19,6 +19,7 @@
 use crate::relay::RelayConfig;
 use crate::relay::background;
 use crate::relay::caller_server;
+use crate::relay::caller_table;
 use crate::relay::pages;
 use crate::relay::peer_server;
 use crate::relay::reader_sync;
@@ -74,6 +75,7 @@
             background::spawn(&relay, "routes", store_sync::follow_routes),
             background::spawn(&relay, "targets", store_sync::follow_targets),
             background::spawn(&relay, "local-target", store_sync::follow_local_target),
+            background::spawn(&relay, "memory", caller_table::relieve_memory),
             background::spawn(&relay, "queue", |relay| {
                 relay.admission_queue().clone().drop_late_requests()
             }),
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -35,6 +35,7 @@
     queue_time: HistogramVec,
     store_calls: IntCounterVec,
     caller_connections: IntCounter,
+    caller_ends: IntCounterVec,
     task_restarts: IntCounterVec,
     in_progress: IntGauge,
     state: IntGaugeVec,
@@ -96,6 +97,12 @@
                 &["result"],
             ),
             caller_connections: counter(r, "callers", "Accepted connections of callers"),
+            caller_ends: counter_vec(
+                r,
+                "caller_ends",
+                "Connections of callers that were refused or ended, or requests that were refused, for want of memory or descriptors",
+                &["reason"],
+            ),
             task_restarts: counter_vec(
                 r,
                 "task_restarts",
@@ -168,6 +175,12 @@
         self.caller_connections.inc();
     }
 
+    /// Counts a connection of a caller that was refused or ended, or a request that was refused, for
+    /// want of memory or descriptors.
+    pub fn record_caller_end(&self, reason: &str) {
+        self.caller_ends.with_label_values(&[reason]).inc();
+    }
+
     /// Returns the number of requests of callers in progress.
     pub fn in_progress(&self) -> i64 {
         self.in_progress.get()
@@ -194,6 +207,10 @@
                 "gate",
                 i64::from(relay.admission_queue().admission_ratio().to_byte()),
             ),
+            ("callers", relay.open_callers() as i64),
+            ("memory_bytes", relay.memory().used() as i64),
+            ("memory_limit_bytes", relay.memory().limit() as i64),
+            ("memory_waits", relay.memory().waits() as i64),
             ("targets", view.targets.len() as i64),
             ("configuration", version as i64),
             ("ready", i64::from(relay.is_ready())),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,19 +11,24 @@
 pub mod admission_queue;
 mod attempt;
 pub mod background;
-pub mod body_memory;
 pub mod call;
 pub mod caller_server;
+mod caller_table;
+pub mod descriptors;
 pub mod header_names;
 mod idle_connections;
+pub mod incoming_body;
+mod incoming_reply;
 pub mod lifecycle;
 mod load_report;
 mod local_target;
 pub mod metrics;
+mod outgoing_bodies;
 pub mod pages;
 pub mod peer_client;
 mod peer_connection;
 pub mod peer_server;
+mod peer_writer;
 pub mod reader_sync;
 mod repeated_run;
 pub mod response;
@@ -71,10 +76,12 @@
 use crate::instance::InstanceName;
 use crate::instance::RegionName;
 use crate::instance::ServiceName;
+use crate::memory::MemoryBudget;
 use crate::protocol::frame::Frame;
 use crate::protocol::store_query::TargetEntry;
 use crate::relay::admission_queue::AdmissionQueue;
-use crate::relay::body_memory::BodyMemory;
+use crate::relay::caller_table::CallerTable;
+use crate::relay::descriptors::Descriptors;
 use crate::relay::header_names::HeaderNames;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::peer_client::PeerClient;
@@ -118,8 +125,10 @@
     pub retry_slack: f64,
     /// Sliding window over which `retry_ratio` is measured.
     pub retry_window: Duration,
-    /// Limit on the bytes of bodies that are buffered at once. A change takes effect at a restart.
-    pub body_memory: usize,
+    /// Limit on the memory for messages, in bytes. A change takes effect at a restart.
+    pub message_memory: usize,
+    /// Descriptors of the process, divided among its connections.
+    pub descriptors: Descriptors,
 }
 
 /// State of the routing, admission and retry algorithms, guarded by one lock.
@@ -161,7 +170,8 @@
     coordination: Mutex<CoordinationState>,
     admission_queue: Arc<AdmissionQueue>,
     target_client: TargetClient,
-    body_memory: BodyMemory,
+    memory: MemoryBudget,
+    callers: CallerTable,
     unreachable_until: Mutex<Option<Time>>,
     /// Name by which the local target was addressed when it answered as another instance, and when.
     misdirected: Mutex<Option<(InstanceName, Time)>>,
@@ -215,7 +225,8 @@
         let mut rng = ChaCha12Rng::seed_from_u64(seed);
         let incarnation = rng.next_u64();
         let local_ip = cfg.peers.ip();
-        let body_memory = BodyMemory::new(cfg.body_memory);
+        let target_connections = cfg.descriptors.target();
+        let memory = MemoryBudget::new(cfg.message_memory);
         let local_node = LocalNode {
             instance: cfg.name.clone(),
             domain: cfg.domain.clone(),
@@ -243,14 +254,15 @@
             local_target_changed: Notify::new(),
             coordination: Mutex::new(coordination),
             admission_queue: Arc::new(AdmissionQueue::new(clock.clone())),
-            target_client: TargetClient::new(header_names, body_memory.clone()),
-            body_memory,
+            target_client: TargetClient::new(header_names, memory.clone(), target_connections),
+            callers: CallerTable::default(),
             unreachable_until: Mutex::default(),
             misdirected: Mutex::default(),
             list_outdated: Notify::new(),
             last_draining_hint: Mutex::default(),
             connected_peers: Mutex::default(),
-            peer_client: Arc::new(PeerClient::new(local_ip, incarnation)),
+            peer_client: Arc::new(PeerClient::new(local_ip, incarnation, memory.clone())),
+            memory,
             metrics: RelayMetrics::new(),
             phase: watch::Sender::new(Phase::Serving),
             stopping_since: OnceLock::new(),
@@ -309,9 +321,18 @@
         &self.target_client
     }
 
-    /// Returns the count of the buffered bytes of bodies.
-    pub fn body_memory(&self) -> &BodyMemory {
-        &self.body_memory
+    /// Returns the budget of the memory for messages.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
+    fn callers(&self) -> &CallerTable {
+        &self.callers
+    }
+
+    /// Returns the number of open connections of callers.
+    pub fn open_callers(&self) -> usize {
+        self.callers.len()
     }
 
     /// Returns the address of the local target.
--- a/src/relay/peer_client.rs
+++ b/src/relay/peer_client.rs
@@ -19,9 +19,11 @@
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::memory::MemoryBudget;
 use crate::protocol::frame;
 use crate::protocol::frame::Frame;
 use crate::protocol::frame::LoadReport;
+use crate::protocol::frame::MAX_FRAME_BYTES;
 use crate::protocol::frame::RunOutcome;
 use crate::protocol::frame::RunRequest;
 use crate::protocol::store_query::Query;
@@ -89,6 +91,7 @@
 pub struct PeerClient {
     local_ip: IpAddr,
     incarnation: u64,
+    memory: MemoryBudget,
     connections: Mutex<HashMap<SocketAddr, ConnectionHandle>>,
     unreachable_since: Mutex<HashMap<SocketAddr, Instant>>,
     next_number: std::sync::atomic::AtomicU32,
@@ -96,11 +99,12 @@
 
 impl PeerClient {
     /// Builds a client without connections; each is opened when it is first used. They are bound to
-    /// `local_ip` and announce `incarnation`.
-    pub fn new(local_ip: IpAddr, incarnation: u64) -> PeerClient {
+    /// `local_ip` and announce `incarnation`. The bodies of replies are reserved from `memory`.
+    pub fn new(local_ip: IpAddr, incarnation: u64, memory: MemoryBudget) -> PeerClient {
         PeerClient {
             local_ip,
             incarnation,
+            memory,
             connections: Mutex::default(),
             unreachable_since: Mutex::default(),
             next_number: std::sync::atomic::AtomicU32::new(1),
@@ -258,8 +262,8 @@
             .remove(&address);
         log::debug!(peer:% = address; "connected to node");
         let (rd, mut wr) = stream.into_split();
-        let mut frames = FramedRead::new(rd, frame::codec());
-        let mut connection = PeerConnection::default();
+        let mut frames = FramedRead::new(rd, frame::codec(MAX_FRAME_BYTES));
+        let mut connection = PeerConnection::new(self.memory.clone());
         let end = connection
             .run(self.incarnation, &mut frames, &mut wr, &mut commands)
             .await;
--- a/src/relay/peer_connection.rs
+++ b/src/relay/peer_connection.rs
@@ -12,19 +12,24 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::error::UnknownKind;
+use crate::fingerprint;
+use crate::memory::MemoryBudget;
 use crate::protocol::frame;
 use crate::protocol::frame::FRAME_VERSION;
 use crate::protocol::frame::Frame;
+use crate::protocol::frame::MAX_INLINE_BODY;
 use crate::protocol::frame::RunRequest;
+use crate::protocol::frame::StreamedBody;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
 use crate::protocol::sync::KnownState;
 use crate::protocol::sync::SyncReply;
+use crate::relay::incoming_reply::IncomingReply;
+use crate::relay::outgoing_bodies::OutgoingBodies;
 use crate::relay::peer_client::Reply;
 
 /// Time without a message, while a reply is pending, after which a ping is sent.
@@ -66,19 +71,39 @@
     tx: oneshot::Sender<Reply>,
 }
 
+/// Time between two attempts to reserve memory for replies that wait for it.
+const MEMORY_RETRY_PERIOD: Duration = Duration::from_millis(20);
+
 /// Pending requests and reads of an open connection.
-#[derive(Default)]
 pub(super) struct PeerConnection {
+    memory: MemoryBudget,
     pending_runs: HashMap<u32, PendingRun>,
+    /// Replies whose bodies are being received.
+    incoming: HashMap<u32, IncomingReply>,
+    /// Bodies of requests that are being sent.
+    outgoing: OutgoingBodies,
     pending_reads: HashMap<u32, oneshot::Sender<Option<QueryResult>>>,
     pending_syncs: HashMap<u32, oneshot::Sender<SyncReply>>,
     last_read_number: u32,
 }
 
 impl PeerConnection {
-    /// Returns the number of requests without a reply.
+    /// Builds the state of a new connection. The bodies of replies are reserved from `memory`.
+    pub(super) fn new(memory: MemoryBudget) -> PeerConnection {
+        PeerConnection {
+            memory,
+            pending_runs: HashMap::new(),
+            incoming: HashMap::new(),
+            outgoing: OutgoingBodies::default(),
+            pending_reads: HashMap::new(),
+            pending_syncs: HashMap::new(),
+            last_read_number: 0,
+        }
+    }
+
+    /// Returns the number of requests without a complete reply.
     pub(super) fn pending_requests(&self) -> usize {
-        self.pending_runs.len()
+        self.pending_runs.len() + self.incoming.len()
     }
 
     /// Drives the connection until it ends. Returns `Ok` if it is unused or its handles are gone,
@@ -99,16 +124,16 @@
             },
         );
         let mut last_activity = Instant::now();
+        // Since when the bytes in `out` wait to be written.
+        let mut unwritten_since = None;
         let mut pinged = false;
         loop {
-            if !out.is_empty() {
-                // Replies are pending while the other node reads nothing, so that the same limit
-                // holds for writes.
-                match timeout(RECEIVE_TIMEOUT, wr.write_all(&out)).await {
-                    Ok(written) => written?,
-                    Err(_) => return Err(io::ErrorKind::TimedOut.into()),
-                }
-                out.clear();
+            if out.len() < WRITE_BATCH_BYTES {
+                self.outgoing.append_next(&mut out);
+            }
+            let write_limit = *unwritten_since.get_or_insert_with(Instant::now) + RECEIVE_TIMEOUT;
+            if out.is_empty() {
+                unwritten_since = None;
             }
             let pending = self.has_pending();
             let (idle_limit, action) = match (pending, pinged) {
@@ -117,13 +142,19 @@
                 (false, _) => (IDLE_TIMEOUT, IdleAction::Close),
             };
             tokio::select! {
+                written = wr.write_buf(&mut out), if !out.is_empty() => {
+                    if written? == 0 {
+                        return Err(io::ErrorKind::WriteZero.into());
+                    }
+                    unwritten_since = None;
+                }
                 frame = frames.next() => {
                     let bytes = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
                     last_activity = Instant::now();
                     pinged = false;
-                    self.handle_frame(&bytes)?;
+                    self.handle_frame(&bytes, &mut out)?;
                 }
-                command = commands.recv() => {
+                command = commands.recv(), if out.len() < WRITE_BATCH_BYTES => {
                     let Some(command) = command else { return Ok(()) };
                     if !pending {
                         last_activity = Instant::now();
@@ -133,6 +164,14 @@
                         self.handle_command(command, &mut out);
                     }
                 }
+                () = tokio::time::sleep(MEMORY_RETRY_PERIOD), if self.awaits_memory() => {
+                    self.reserve_replies(&mut out);
+                }
+                // Replies are pending while the other node reads nothing, so that the same limit
+                // holds for writes.
+                () = tokio::time::sleep_until(write_limit), if !out.is_empty() => {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
                 () = tokio::time::sleep_until(last_activity + idle_limit) => match action {
                     IdleAction::Ping => {
                         pinged = true;
@@ -147,19 +186,20 @@
 
     /// Returns whether a reply of the other node is due.
     fn has_pending(&self) -> bool {
-        let runs = !self.pending_runs.is_empty();
+        let runs = self.pending_requests() > 0;
         runs || !self.pending_reads.is_empty() || !self.pending_syncs.is_empty()
     }
 
     fn handle_command(&mut self, command: Command, out: &mut BytesMut) {
         match command {
-            Command::Run(req, tx) => {
+            Command::Run(mut req, tx) => {
                 if tx.is_closed() {
                     return;
                 }
                 let idempotent = req.idempotent;
                 self.pending_runs
                     .insert(req.number, PendingRun { idempotent, tx });
+                self.stream_long_body(&mut req);
                 frame::append_or_log(out, &Frame::Run(req));
             }
             Command::Read(query, tx) => {
@@ -173,7 +213,9 @@
                 frame::append_or_log(out, &Frame::Sync { number, known });
             }
             Command::Cancel(number) => {
-                if self.pending_runs.remove(&number).is_some() {
+                self.outgoing.remove(number);
+                let pending = self.pending_runs.remove(&number).is_some();
+                if pending || self.incoming.remove(&number).is_some() {
                     frame::append_or_log(out, &Frame::Cancel(number));
                 }
             }
@@ -181,25 +223,76 @@
         }
     }
 
+    /// Moves a long body out of its request, to be sent once the other node gives credit.
+    fn stream_long_body(&mut self, req: &mut RunRequest) {
+        if req.body.len() <= MAX_INLINE_BODY {
+            return;
+        }
+        let body = std::mem::take(&mut req.body);
+        req.streamed = Some(StreamedBody {
+            len: body.len() as u64,
+            fingerprint: fingerprint::of_content(&req.method, &req.path, &body),
+        });
+        self.outgoing.add(req.number, body);
+    }
+
+    /// Returns whether the body of a reply is not received for want of memory.
+    fn awaits_memory(&self) -> bool {
+        self.incoming.values().any(IncomingReply::awaits_memory)
+    }
+
+    /// Reserves the memory of the bodies that wait for it, and gives credit for them.
+    fn reserve_replies(&mut self, out: &mut BytesMut) {
+        for (&number, incoming) in &mut self.incoming {
+            if let Some(bytes) = incoming.try_reserve() {
+                frame::append_or_log(out, &Frame::Credit { number, bytes });
+            }
+        }
+    }
+
     fn next_read_number(&mut self) -> u32 {
         self.last_read_number = self.last_read_number.wrapping_add(1);
         self.last_read_number
     }
 
-    fn handle_frame(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// Handles a message. What it is answered with is appended to `out`.
+    fn handle_frame(&mut self, bytes: &[u8], out: &mut BytesMut) -> io::Result<()> {
         let frame = frame::decode(bytes).map_err(io::Error::other)?;
         match frame {
             Frame::Reply {
                 number,
                 outcome,
                 load,
+                streamed_len,
             } => {
-                if let Some(run) = self.pending_runs.remove(&number) {
-                    let load = Some(load);
+                self.outgoing.remove(number);
+                let Some(PendingRun { tx, .. }) = self.pending_runs.remove(&number) else {
+                    return Ok(());
+                };
+                let load = Some(load);
+                let reply = Reply { outcome, load };
+                match streamed_len {
                     // A send fails only if the receiver of the reply was dropped.
-                    drop(run.tx.send(Reply { outcome, load }));
+                    None => drop(tx.send(reply)),
+                    Some(len) => {
+                        let mut incoming = IncomingReply::new(reply, len, tx, &self.memory);
+                        if let Some(bytes) = incoming.try_reserve() {
+                            frame::append_or_log(out, &Frame::Credit { number, bytes });
+                        }
+                        self.incoming.insert(number, incoming);
+                    }
+                }
+            }
+            Frame::Data { number, bytes } => {
+                if let Some(incoming) = self.incoming.get_mut(&number) {
+                    incoming.append(bytes).map_err(io::Error::other)?;
+                }
+                let complete = |_: &u32, incoming: &mut IncomingReply| incoming.is_complete();
+                for (_, incoming) in self.incoming.extract_if(complete) {
+                    incoming.deliver();
                 }
             }
+            Frame::Credit { number, bytes } => self.outgoing.add_credit(number, bytes),
             Frame::ReadReply { number, result } => {
                 if let Some(tx) = self.pending_reads.remove(&number) {
                     drop(tx.send(result));
@@ -220,6 +313,10 @@
         for (_, run) in self.pending_runs.drain() {
             drop(run.tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
         }
+        self.incoming
+            .drain()
+            .for_each(|(_, incoming)| incoming.fail());
+        self.outgoing.clear();
         self.pending_reads.clear();
         self.pending_syncs.clear();
     }
@@ -230,6 +327,11 @@
         for (_, run) in repeatable {
             drop(run.tx.send(Reply::unknown(UnknownKind::ConnectionLost)));
         }
+        // The rest of a body is not sent without further credit.
+        self.incoming
+            .drain()
+            .for_each(|(_, incoming)| incoming.fail());
+        self.outgoing.clear();
         self.pending_reads.clear();
         self.pending_syncs.clear();
     }
@@ -238,11 +340,14 @@
     /// silent. It may only be paused. Ends when all have a reply or their senders have given up, or
     /// the connection ends.
     pub(super) async fn await_last_replies(&mut self, frames: &mut PeerFrames) -> io::Result<()> {
+        // Nothing more is sent on the connection.
+        let mut unsent = BytesMut::new();
         while !self.pending_runs.is_empty() {
             tokio::select! {
                 frame = frames.next() => {
                     let bytes = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
-                    self.handle_frame(&bytes)?;
+                    self.handle_frame(&bytes, &mut unsent)?;
+                    unsent.clear();
                 }
                 () = tokio::time::sleep(ABANDONED_CHECK_PERIOD) => {
                     self.pending_runs.retain(|_, run| !run.tx.is_closed());
--- a/src/relay/peer_server.rs
+++ b/src/relay/peer_server.rs
@@ -2,29 +2,41 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use bytes::BytesMut;
 use futures_util::StreamExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
+use crate::error::NotRunKind;
 use crate::protocol::frame;
 use crate::protocol::frame::FRAME_VERSION;
 use crate::protocol::frame::Frame;
+use crate::protocol::frame::LoadReport;
+use crate::protocol::frame::MAX_FRAME_BYTES;
+use crate::protocol::frame::MAX_HELLO_BYTES;
+use crate::protocol::frame::MAX_INLINE_BODY;
+use crate::protocol::frame::RunOutcome;
 use crate::protocol::frame::RunRequest;
+use crate::protocol::frame::StreamedBody;
 use crate::protocol::store_query::Query;
 use crate::protocol::sync::KnownState;
 use crate::relay::Relay;
+use crate::relay::incoming_body::BodySender;
+use crate::relay::incoming_body::IncomingBody;
+use crate::relay::peer_connection::PeerFrames;
+use crate::relay::peer_writer;
+use crate::relay::peer_writer::ToPeer;
 use crate::relay::run;
 use crate::relay::socket;
 
@@ -37,20 +49,34 @@
 /// Number of reads of the store for other nodes that are in progress.
 static STORE_READS: AtomicUsize = AtomicUsize::new(0);
 
-/// Tasks of the requests that run for one connection, by number of the request.
-type RunningRequests = Arc<Mutex<HashMap<u32, AbortHandle>>>;
+/// Time that a new connection has to identify itself as one of a node.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Accepts connections of other nodes. They are closed when the task ends.
+/// A request that runs for another node.
+struct RunningRequest {
+    task: AbortHandle,
+    /// Where the parts of its body go, if they are sent one by one.
+    body: Option<BodySender>,
+}
+
+/// The requests that run for one connection, by number.
+type RunningRequests = Arc<Mutex<HashMap<u32, RunningRequest>>>;
+
+/// Accepts connections of other nodes, as many as their share of the descriptors allows. They are
+/// closed when the task ends.
 pub async fn accept(relay: Arc<Relay>, listener: Arc<TcpListener>) {
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, from)) => {
+                if connections.len() >= relay.cfg().descriptors.peers() {
+                    log::warn!(peer:% = from; "connection of another node refused, too many are open");
+                    continue;
+                }
                 let relay = relay.clone();
-                relay.record_connected_peer(from.ip());
                 connections.spawn(async move {
-                    if let Err(e) = serve(relay, stream).await {
+                    if let Err(e) = serve(relay, stream, from.ip()).await {
                         log::debug!(peer:% = from, error:% = e; "connection of another node broke");
                     }
                 });
@@ -63,13 +89,16 @@
     }
 }
 
-async fn serve(relay: Arc<Relay>, stream: TcpStream) -> io::Result<()> {
+async fn serve(relay: Arc<Relay>, stream: TcpStream, from: IpAddr) -> io::Result<()> {
     socket::set_options(&stream)?;
     let (rd, wr) = stream.into_split();
+    let mut frames = FramedRead::new(rd, frame::codec(MAX_HELLO_BYTES));
+    receive_hello(&mut frames).await?;
+    frames.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
+    relay.record_connected_peer(from);
     let (tx, rx) = mpsc::channel(MAX_QUEUED_FRAMES);
-    let writer = tokio::spawn(write_frames(wr, rx));
+    let writer = tokio::spawn(peer_writer::write(wr, rx));
     let running = RunningRequests::default();
-    let mut frames = FramedRead::new(rd, frame::codec());
     let result = loop {
         let bytes = match frames.next().await {
             Some(Ok(bytes)) => bytes,
@@ -86,30 +115,56 @@
         }
     };
     // The sender is gone, so its runs are aborted. Non-idempotent runs continue to their end.
-    let handles: Vec<AbortHandle> = lock(&running).drain().map(|(_, handle)| handle).collect();
-    handles.iter().for_each(AbortHandle::abort);
+    let ended: Vec<RunningRequest> = lock(&running).drain().map(|(_, request)| request).collect();
+    ended.iter().for_each(|request| request.task.abort());
     drop(tx);
     writer.abort();
     result
 }
 
+/// Receives the first message of a connection.
+///
+/// # Errors
+///
+/// If it is not that of a node with this version of the message format.
+async fn receive_hello(frames: &mut PeerFrames) -> io::Result<()> {
+    let first = timeout(HELLO_TIMEOUT, frames.next()).await?;
+    let bytes = first.ok_or(io::ErrorKind::UnexpectedEof)??;
+    match frame::decode(&bytes).map_err(io::Error::other)? {
+        Frame::Hello { version, .. } if version == FRAME_VERSION => Ok(()),
+        Frame::Hello { version, .. } => Err(io::Error::other(format!(
+            "unsupported message version {version}, expected {FRAME_VERSION}"
+        ))),
+        _ => Err(io::Error::other("the first message is not a hello")),
+    }
+}
+
 async fn handle_frame(
     relay: &Arc<Relay>,
     frame: Frame,
-    tx: &mpsc::Sender<Frame>,
+    tx: &mpsc::Sender<ToPeer>,
     running: &RunningRequests,
 ) -> io::Result<()> {
     match frame {
-        Frame::Hello { version, .. } if version != FRAME_VERSION => {
-            return Err(io::Error::other(format!(
-                "unsupported message version {version}, expected {FRAME_VERSION}"
-            )));
-        }
         Frame::Run(req) => start_run(relay, req, tx, running),
+        Frame::Data { number, bytes } => {
+            if let Some(RunningRequest {
+                body: Some(body), ..
+            }) = lock(running).get(&number)
+            {
+                body.send(bytes).map_err(io::Error::other)?;
+            }
+        }
+        Frame::Credit { number, bytes } => {
+            let sent = tx.send(ToPeer::Credit(number, bytes)).await;
+            sent.map_err(|_| io::ErrorKind::BrokenPipe)?;
+        }
         Frame::Cancel(number) => {
-            if let Some(handle) = lock(running).remove(&number) {
-                handle.abort();
+            if let Some(request) = lock(running).remove(&number) {
+                request.task.abort();
             }
+            let sent = tx.send(ToPeer::Drop(number)).await;
+            sent.map_err(|_| io::ErrorKind::BrokenPipe)?;
         }
         Frame::ConfigVersion(version) => relay.handle_peer_version(version),
         Frame::Ping => send(tx, Frame::Pong).await?,
@@ -123,37 +178,70 @@
 
 fn start_run(
     relay: &Arc<Relay>,
-    req: Box<RunRequest>,
-    tx: &mpsc::Sender<Frame>,
+    mut req: Box<RunRequest>,
+    tx: &mpsc::Sender<ToPeer>,
     running: &RunningRequests,
 ) {
     let number = req.number;
     let arrived = relay.now();
+    let (body, streamed) = match req.streamed {
+        Some(StreamedBody { len, .. }) => {
+            let window = relay.memory().reserve();
+            let (sender, body) = IncomingBody::new(number, len, tx.clone(), window);
+            (Some(sender), Some(body))
+        }
+        None => (None, None),
+    };
+    let mut reservation = relay.memory().reserve();
+    let has_memory = reservation.extend_to(req.body.len());
+    req.body = std::mem::take(&mut req.body).with_reservation(reservation);
     let task = {
         let relay = relay.clone();
         let tx = tx.clone();
         let running = running.clone();
         async move {
             let route: Arc<str> = Arc::from(req.route.as_str());
-            let outcome = run::run_locally(&relay, *req, arrived).await;
-            lock(&running).remove(&number);
-            let reply = Frame::Reply {
-                number,
-                outcome,
-                load: relay.load_report(&route),
+            let outcome = match has_memory {
+                true => run::run_locally(&relay, *req, streamed, arrived).await,
+                false => RunOutcome::NotRun {
+                    kind: NotRunKind::Overloaded,
+                    refused_by_target: false,
+                },
             };
-            if send(&tx, reply).await.is_err() {
+            lock(&running).remove(&number);
+            let load = relay.load_report(&route);
+            if tx.send(reply(number, outcome, load)).await.is_err() {
                 log::debug!("reply dropped, the connection of the requesting node is closed");
             }
         }
     };
     let mut running = lock(running);
-    let handle = tokio::spawn(task).abort_handle();
-    running.insert(number, handle);
+    let task = tokio::spawn(task).abort_handle();
+    running.insert(number, RunningRequest { task, body });
+}
+
+/// Returns the reply to a request. A long body follows in pieces.
+fn reply(number: u32, mut outcome: RunOutcome, load: LoadReport) -> ToPeer {
+    let long_body = match &mut outcome {
+        RunOutcome::Completed { body, .. } if body.len() > MAX_INLINE_BODY => {
+            Some(std::mem::take(body))
+        }
+        _ => None,
+    };
+    let reply = Frame::Reply {
+        number,
+        outcome,
+        load,
+        streamed_len: long_body.as_ref().map(|body| body.len() as u64),
+    };
+    match long_body {
+        Some(body) => ToPeer::Streamed(reply, number, body),
+        None => ToPeer::Frame(reply),
+    }
 }
 
 /// Reads the store for another node. Replies with nothing if [`MAX_STORE_READS`] are in progress.
-fn spawn_store_read(relay: &Arc<Relay>, number: u32, query: Query, tx: &mpsc::Sender<Frame>) {
+fn spawn_store_read(relay: &Arc<Relay>, number: u32, query: Query, tx: &mpsc::Sender<ToPeer>) {
     let relay = relay.clone();
     let tx = tx.clone();
     tokio::spawn(async move {
@@ -173,7 +261,7 @@
 }
 
 /// Replies to a follower once there is something that it does not know.
-fn spawn_sync(relay: &Arc<Relay>, number: u32, known: KnownState, tx: &mpsc::Sender<Frame>) {
+fn spawn_sync(relay: &Arc<Relay>, number: u32, known: KnownState, tx: &mpsc::Sender<ToPeer>) {
     let relay = relay.clone();
     let tx = tx.clone();
     tokio::spawn(async move {
@@ -187,26 +275,11 @@
     });
 }
 
-async fn send(tx: &mpsc::Sender<Frame>, frame: Frame) -> io::Result<()> {
-    let sent = tx.send(frame).await;
+async fn send(tx: &mpsc::Sender<ToPeer>, frame: Frame) -> io::Result<()> {
+    let sent = tx.send(ToPeer::Frame(frame)).await;
     sent.map_err(|_| io::ErrorKind::BrokenPipe.into())
 }
 
-async fn write_frames(mut wr: OwnedWriteHalf, mut rx: mpsc::Receiver<Frame>) {
-    let mut out = BytesMut::new();
-    while let Some(frame) = rx.recv().await {
-        frame::append_or_log(&mut out, &frame);
-        while let Ok(frame) = rx.try_recv() {
-            frame::append_or_log(&mut out, &frame);
-        }
-        if let Err(e) = wr.write_all(&out).await {
-            log::debug!("cannot write replies to another node: {e}");
-            return;
-        }
-        out.clear();
-    }
-}
-
-fn lock(running: &RunningRequests) -> std::sync::MutexGuard<'_, HashMap<u32, AbortHandle>> {
+fn lock(running: &RunningRequests) -> std::sync::MutexGuard<'_, HashMap<u32, RunningRequest>> {
     running.lock().unwrap_or_else(|p| p.into_inner())
 }
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::http1::Header;
+use crate::memory::Body;
 
 /// An HTTP response to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,7 +13,7 @@
     /// Headers.
     pub headers: Vec<Header>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl CallerResponse {
@@ -21,7 +22,7 @@
         CallerResponse {
             status,
             headers: Vec::new(),
-            body: reason.as_bytes().to_vec(),
+            body: Body::from(reason.as_bytes().to_vec()),
         }
     }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -25,6 +25,7 @@
 use crate::relay::Relay;
 use crate::relay::admission_queue::AdmissionRequest;
 use crate::relay::admission_queue::Permit;
+use crate::relay::incoming_body::IncomingBody;
 use crate::relay::target_client::TargetOutcome;
 use crate::relay::target_client::TargetRequest;
 use crate::relay::target_client::TargetResponse;
@@ -39,8 +40,14 @@
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 
 /// Runs a request at the local target. Dropping the future aborts an idempotent run. Any other run
-/// continues to its end, because its outcome would be unknown if it were aborted.
-pub async fn run_locally(relay: &Arc<Relay>, mut req: RunRequest, arrived: Time) -> RunOutcome {
+/// continues to its end, because its outcome would be unknown if it were aborted. `streamed` is the
+/// body of a request whose body is not part of it.
+pub async fn run_locally(
+    relay: &Arc<Relay>,
+    mut req: RunRequest,
+    streamed: Option<IncomingBody>,
+    arrived: Time,
+) -> RunOutcome {
     relay.handle_peer_version(req.config_version);
     if let Some(name) = relay.replacement_of(&req.target, &req.service) {
         req.target = name;
@@ -61,9 +68,15 @@
         }
     };
     if req.idempotent {
-        return run_admitted(relay.clone(), req, admitted, deadline).await;
+        return run_admitted(relay.clone(), req, streamed, admitted, deadline).await;
     }
-    let run = tokio::spawn(run_admitted(relay.clone(), req, admitted, deadline));
+    let run = tokio::spawn(run_admitted(
+        relay.clone(),
+        req,
+        streamed,
+        admitted,
+        deadline,
+    ));
     run.await.unwrap_or_else(|e| {
         log::error!("task of a run failed: {e}");
         RunOutcome::Unknown(UnknownKind::ConnectionLost)
@@ -101,7 +114,10 @@
 ) -> Result<AdmittedRun, NotRunKind> {
     relay.check_target(&req.target)?;
     relay.record_origin(req);
-    let fingerprint = fingerprint::of_content(&req.method, &req.path, &req.body);
+    let fingerprint = match req.streamed {
+        Some(streamed) => streamed.fingerprint,
+        None => fingerprint::of_content(&req.method, &req.path, &req.body),
+    };
     let queued_at = relay.now();
     if relay
         .coordination()
@@ -144,6 +160,7 @@
 async fn run_admitted(
     relay: Arc<Relay>,
     req: RunRequest,
+    streamed: Option<IncomingBody>,
     mut admitted: AdmittedRun,
     deadline: Time,
 ) -> RunOutcome {
@@ -160,7 +177,7 @@
     };
     let run = relay
         .target_client()
-        .run(relay.target_address(), &target_request);
+        .run_streamed(relay.target_address(), &target_request, streamed);
     // The target stops at the deadline and reports it; the margin lets that response arrive.
     let result = tokio::time::timeout(remaining + MIN_REMAINING * 10, run).await;
     let took = relay.now().since(started_at);
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 
 use crate::error::UnknownKind;
 use crate::http1::BodyDecoder;
@@ -20,10 +21,14 @@
 use crate::http1::head;
 use crate::http1::head::MessageError;
 use crate::http1::write;
-use crate::relay::body_memory::BodyMemory;
+use crate::memory::Body;
+use crate::memory::MemoryBudget;
+use crate::memory::Reservation;
 use crate::relay::header_names::HeaderNames;
 use crate::relay::idle_connections::IdleConnections;
 use crate::relay::idle_connections::TargetConnection;
+use crate::relay::incoming_body::BrokenBody;
+use crate::relay::incoming_body::IncomingBody;
 use crate::relay::socket;
 
 /// Limit on the head of a response, in bytes.
@@ -45,12 +50,24 @@
 
 /// Length of a request, in bytes, that the target's buffer holds unread. If a longer one is not
 /// acknowledged, the target may only be reading slowly.
-const MAX_BUFFERED_REQUEST: usize = 4 * 1024;
+const MAX_BUFFERED_REQUEST: u64 = 4 * 1024;
 
 /// Time for which such a short request may stay unacknowledged before the connection counts as
 /// silent.
 const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(3_000);
 
+/// Length up to which a body is copied behind its head, so that both are written at once.
+const MAX_COPIED_BYTES: usize = 64 * 1024;
+
+/// Least room in the buffer for the next bytes of a response body.
+const MIN_READ_BYTES: usize = 2 * 1024;
+
+/// Most room in the buffer for the next bytes of a response body.
+const MAX_READ_BYTES: usize = 32 * 1024;
+
+/// Longest wait for the memory of a message.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(2_000);
+
 /// A request to the target.
 #[derive(Clone, Debug)]
 pub struct TargetRequest {
@@ -64,8 +81,8 @@
     pub host: String,
     /// All headers but host and content length.
     pub headers: Vec<Header>,
-    /// Body.
-    pub body: Vec<u8>,
+    /// Body, unless it is received while the request runs.
+    pub body: Body,
     /// Whether the request may run more than once.
     pub idempotent: bool,
 }
@@ -78,7 +95,7 @@
     /// All headers but the hop-by-hop ones.
     pub headers: Vec<Header>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// Whether the target closes the connection, as it does while it is draining.
     pub closes: bool,
 }
@@ -105,17 +122,17 @@
 #[derive(Debug)]
 pub struct TargetClient {
     header_names: HeaderNames,
-    body_memory: BodyMemory,
+    memory: MemoryBudget,
     idle: IdleConnections,
 }
 
 impl TargetClient {
-    /// Builds a client with an empty pool, which buffers bodies within the limit of `body_memory`.
-    pub fn new(header_names: HeaderNames, body_memory: BodyMemory) -> TargetClient {
+    /// Builds a client with an empty pool for at most `max_idle` connections, which reserves the bodies of responses from `memory`.
+    pub fn new(header_names: HeaderNames, memory: MemoryBudget, max_idle: usize) -> TargetClient {
         TargetClient {
             header_names,
-            body_memory,
-            idle: IdleConnections::default(),
+            memory,
+            idle: IdleConnections::new(max_idle),
         }
     }
 
@@ -126,6 +143,17 @@
 
     /// Sends a request and reads its response. Dropping the future closes the connection.
     pub async fn run(&self, address: SocketAddr, request: &TargetRequest) -> TargetOutcome {
+        self.run_streamed(address, request, None).await
+    }
+
+    /// Sends a request, with `streamed` as its body if there is one, and reads its response. Dropping
+    /// the future closes the connection.
+    pub async fn run_streamed(
+        &self,
+        address: SocketAddr,
+        request: &TargetRequest,
+        streamed: Option<IncomingBody>,
+    ) -> TargetOutcome {
         let mut connection = match self.connection(address, request).await {
             Ok(connection) => connection,
             Err(e) => return TargetOutcome::Unsent(e),
@@ -135,7 +163,9 @@
             sent_at: Instant::now(),
             armed: true,
         };
-        let (whole_request_sent, read) = self.send_and_receive(&mut connection, request).await;
+        let (whole_request_sent, read) = self
+            .send_and_receive(&mut connection, request, streamed)
+            .await;
         guard.armed = false;
         let read = match read {
             Ok(read) => read,
@@ -161,17 +191,22 @@
         &self,
         connection: &mut TargetConnection,
         request: &TargetRequest,
+        streamed: Option<IncomingBody>,
     ) -> (bool, Result<ReadResponse, TargetOutcome>) {
-        let mut out = Vec::with_capacity(512 + request.body.len());
-        write::request(
+        let body_len = match &streamed {
+            Some(streamed) => streamed.len(),
+            None => request.body.len() as u64,
+        };
+        let mut out = Vec::with_capacity(1_024);
+        write::request_head(
             &mut out,
             &request.method,
             &request.path,
             &request.host,
             &request.headers,
-            &request.body,
+            body_len,
         );
-        if out.len() > MAX_BUFFERED_REQUEST {
+        if out.len() as u64 + body_len > MAX_BUFFERED_REQUEST {
             // The rest of this request may delay the next one, so that the connection stays so.
             allow_slow_reads(&connection.stream, &request.id);
         }
@@ -181,7 +216,12 @@
         tokio::pin!(read);
         tokio::select! {
             biased;
-            written = wr.write_all(&out) => (written.is_ok(), read.await),
+            written = write_request(&mut wr, out, &request.body, streamed) => match written {
+                Err(WriteError::Broken(_)) => {
+                    (false, Err(lost_response(UnknownKind::ConnectionLost, false)))
+                }
+                written => (written.is_ok(), read.await),
+            },
             read = &mut read => (false, read),
         }
     }
@@ -262,7 +302,7 @@
         rd: &mut ReadHalf<'_>,
         buf: &mut BytesMut,
         method: &str,
-    ) -> Result<(ResponseHead, Vec<u8>), TargetOutcome> {
+    ) -> Result<(ResponseHead, Body), TargetOutcome> {
         let head = loop {
             match head::parse_response(buf, MAX_HEAD_BYTES, method) {
                 Ok(Some((head, len))) => {
@@ -280,25 +320,64 @@
                 }
             }
         };
-        let mut decoder = BodyDecoder::new(head.framing, self.body_memory.max_body_bytes());
-        let mut reservation = self.body_memory.reserve();
+        let mut decoder = BodyDecoder::new(head.framing, self.max_response_body(head.framing));
+        let mut reservation = self.memory.reserve();
+        if let Framing::Length(len) = head.framing {
+            // All at once, so that several partial bodies do not wait for each other.
+            let len = usize::try_from(len).unwrap_or(usize::MAX);
+            if len > self.memory.large_limit() {
+                return Err(malformed_response(&MessageError::BodyTooLong));
+            }
+            self.reserve(&mut reservation, len).await?;
+        }
         loop {
             match decoder.decode(buf) {
                 Ok(true) => break,
                 Ok(false) => (),
                 Err(e) => return Err(malformed_response(&e)),
             }
-            if !reservation.extend_to(decoder.decoded_len() + buf.len()) {
-                log::warn!("response of the target is not read, the memory for bodies is used up");
-                return Err(lost_response(UnknownKind::AnswerTruncated, false));
+            let room = usize::try_from(decoder.remaining_len()).unwrap_or(usize::MAX);
+            let room = room.clamp(MIN_READ_BYTES, MAX_READ_BYTES);
+            if head.framing == Framing::UntilClose || head.framing == Framing::Chunked {
+                let needed = decoder.decoded_len() + room;
+                self.reserve(&mut reservation, needed).await?;
             }
+            buf.reserve(room);
             match rd.read_buf(buf).await {
                 Ok(n) if n > 0 => (),
                 Ok(_) if head.framing == Framing::UntilClose => break,
                 Ok(_) | Err(_) => return Err(lost_response(UnknownKind::AnswerTruncated, false)),
             }
         }
-        Ok((head, decoder.into_body()))
+        Ok((head, decoder.into_body().with_reservation(reservation)))
+    }
+
+    /// Returns the size limit of a response body, in bytes.
+    fn max_response_body(&self, framing: Framing) -> usize {
+        match framing {
+            Framing::Length(_) => self.memory.large_limit(),
+            Framing::Chunked | Framing::UntilClose => self.memory.unknown_length_limit(),
+        }
+    }
+
+    /// Waits for the memory of a response, which is not read meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// If there is none for [`MAX_MEMORY_WAIT`].
+    async fn reserve(
+        &self,
+        reservation: &mut Reservation,
+        bytes: usize,
+    ) -> Result<(), TargetOutcome> {
+        let until = tokio::time::Instant::now() + MAX_MEMORY_WAIT;
+        match reservation.wait_to_extend(bytes, until).await {
+            true => Ok(()),
+            false => {
+                log::warn!(bytes = bytes; "response of the target is not read, there is no memory");
+                Err(lost_response(UnknownKind::AnswerTruncated, false))
+            }
+        }
     }
 
     /// Returns whether a response is valid: no response may have a content encoding, and a
@@ -347,6 +426,42 @@
     }
 }
 
+/// Reason why a request was not written to its end.
+#[derive(Debug, thiserror::Error)]
+enum WriteError {
+    /// The connection to the target failed, or the target does not read on.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The rest of the body does not arrive.
+    #[error(transparent)]
+    Broken(#[from] BrokenBody),
+}
+
+/// Writes a request. A short body is written together with its head.
+async fn write_request(
+    wr: &mut WriteHalf<'_>,
+    mut head: Vec<u8>,
+    body: &Body,
+    streamed: Option<IncomingBody>,
+) -> Result<(), WriteError> {
+    if let Some(mut streamed) = streamed {
+        wr.write_all(&head).await?;
+        while let Some(part) = streamed.next(MAX_MEMORY_WAIT).await? {
+            wr.write_all(&part).await?;
+        }
+        return Ok(());
+    }
+    if body.len() <= MAX_COPIED_BYTES {
+        body.append_to(&mut head);
+        return Ok(wr.write_all(&head).await?);
+    }
+    wr.write_all(&head).await?;
+    for piece in body.pieces() {
+        wr.write_all(piece).await?;
+    }
+    Ok(())
+}
+
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -216,7 +216,10 @@
         self.target_client.clear_idle();
         self.clear_unreachable();
         if let Some(local) = &local {
-            self.admission_queue.set_slots(local.slots);
+            let max_connections = self.cfg().descriptors.target();
+            let max_connections = u32::try_from(max_connections).unwrap_or(u32::MAX);
+            self.admission_queue
+                .set_slots(local.slots.min(max_connections));
             log::info!(
                 target:% = local.instance.name, slots = local.slots, born = local.start_time_ms;
                 "local target is listed"
--- a/tests/relays/slow_readers.rs
+++ b/tests/relays/slow_readers.rs
@@ -139,8 +139,8 @@
 async fn callers_of_all_kinds_may_pause() {
     let fleet = RelayFleet::start(79, &["a", "b"]).await;
     fleet.allow_bodies_up_to(LONG_BODY, &["a", "b"]).await;
-    let mut callers = Vec::new();
     for body in BODIES {
+        let mut callers = Vec::new();
         for buffer in BUFFERS {
             for pause in PAUSES_MS {
                 let address = fleet.members[0].outbound;
@@ -163,8 +163,8 @@
                 });
             }
         }
+        futures_util::future::join_all(callers).await;
     }
-    futures_util::future::join_all(callers).await;
 }
 
 /// Guards against slots that are held by the requests behind a response that is not read.
