Serve organisations: keys, withdrawals in time, and quotas over the whole fleet

Change: the node where a request enters checks its key against hashes, sets the organisation's name for the target and removes the key. Keys are accepted only while the node can prove that its configuration is recent; proofs travel with their age in every reply between nodes.

Two kinds of refusal are new, so that the page of errors has 26.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -63,6 +63,20 @@
         }
     }
 
+    /// Creates a clock that also counts the time for which the machine is suspended, unlike
+    /// [`Clock::system`].
+    pub fn boot() -> Clock {
+        let read = || {
+            let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+            let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+            let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+            Time::from_micros(seconds * 1_000_000 + nanos / 1_000)
+        };
+        Clock {
+            read: Arc::new(read),
+        }
+    }
+
     /// Creates a clock that starts at the origin and advances only through the returned handle.
     pub fn manual() -> (Clock, ManualClockHandle) {
         let micros = Arc::new(AtomicU64::new(0));
--- a/src/coordination/root_admission.rs
+++ b/src/coordination/root_admission.rs
@@ -35,10 +35,9 @@
 /// Time for which a refused request is remembered.
 const REFUSED_TTL: Duration = Duration::from_secs(6);
 
-/// Demand of one route and the share of it that is admitted.
+/// Demand of one route at one priority and the share of it that is admitted.
 #[derive(Debug)]
 struct Demand {
-    priority: u8,
     /// Arrivals in the current period.
     arrivals: u32,
     /// Moving average of the arrivals per second.
@@ -50,7 +49,7 @@
 /// Admission state of the routes whose root requests enter at this node.
 #[derive(Debug, Default)]
 pub struct RootAdmission {
-    routes: HashMap<Arc<str>, Demand>,
+    routes: HashMap<(Arc<str>, u8), Demand>,
     updated_at: Time,
     /// Refused requests and when they were refused.
     refused: HashMap<Fingerprint, Time>,
@@ -66,18 +65,17 @@
         now: Time,
     ) -> f64 {
         let new = Demand {
-            priority,
             arrivals: 0,
             per_s: 0.0,
             share: 1.0,
         };
-        let demand = self.routes.entry(route.clone()).or_insert(new);
-        demand.priority = priority;
+        let key = (route.clone(), priority);
+        let demand = self.routes.entry(key.clone()).or_insert(new);
         demand.arrivals += 1;
         if now.since(self.updated_at) >= UPDATE_PERIOD {
             self.update_shares(downstream, now);
         }
-        self.routes.get(route).map_or(1.0, |demand| demand.share)
+        self.routes.get(&key).map_or(1.0, |demand| demand.share)
     }
 
     /// Decides whether to admit a root request of a route with this share, and remembers it if not.
@@ -116,19 +114,19 @@
         self.routes.retain(|_, demand| demand.per_s > 0.01);
         let mut admitted = 0.0;
         let mut demands: BTreeMap<u8, f64> = BTreeMap::new();
-        for (name, demand) in &self.routes {
+        for ((name, priority), demand) in &self.routes {
             let ratio = downstream.ratio(name, now);
             if !ratio.admits_all() {
                 let load = demand.per_s * downstream.cost_ms(name);
                 admitted += load * ratio.share();
-                *demands.entry(demand.priority).or_default() += load;
+                *demands.entry(*priority).or_default() += load;
             }
         }
         let shares = divide(admitted, &demands);
-        for (name, demand) in &mut self.routes {
+        for ((name, priority), demand) in &mut self.routes {
             demand.share = match downstream.ratio(name, now).admits_all() {
                 true => 1.0,
-                false => shares.get(&demand.priority).copied().unwrap_or(1.0),
+                false => shares.get(priority).copied().unwrap_or(1.0),
             };
         }
     }
--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -9,8 +9,12 @@
 
 use crate::call::Priority;
 use crate::clock::Time;
+use crate::coordination::organisations::Directory;
 use crate::instance::ServiceName;
 
+/// Number of priorities of routes that are told apart within an organisation's priority.
+const ROUTE_PRIORITIES: u8 = 3;
+
 /// Number of requests after which the sequence of a traffic split repeats.
 const SPLIT_PERIOD: u64 = 1 << 20;
 
@@ -41,6 +45,8 @@
     /// Priority as configured; 0 is the highest. [`queue_priority`] maps it to a [`Priority`].
     #[serde(rename = "rank")] // serialized name
     pub priority: u8,
+    /// Whether requests need no key although there are organisations.
+    pub public: bool,
     /// Maximum number of targets that one request is sent to.
     pub max_attempts: u32,
     /// Services among which the requests are split.
@@ -60,6 +66,20 @@
     }
 }
 
+/// Returns the priority of a request, of which 0 is the highest: that of its organisation takes
+/// precedence over that of its route, which orders the requests of organisations of one priority.
+/// Those of the highest organisations are all equal.
+pub fn request_priority(organisation: Option<u8>, route: u8) -> u8 {
+    match organisation {
+        None => route,
+        Some(0) => 0,
+        Some(level) => {
+            let above = (level - 1).saturating_mul(ROUTE_PRIORITIES);
+            above.saturating_add(1 + route.min(ROUTE_PRIORITIES - 1))
+        }
+    }
+}
+
 /// Converts the priority of a route, of which 0 is the highest, to the priority of its root
 /// requests in the admission queue.
 ///
@@ -105,12 +125,14 @@
 }
 
 /// Routes and caller limits of one configuration version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// Version; a higher one replaces a lower one.
     pub version: u64,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
+    /// The organisations, if requests need keys.
+    pub directory: Option<Directory>,
     routes: Vec<Arc<Route>>,
     /// Indexes into `routes` by host, longest prefix first.
     #[serde(skip)]
@@ -124,14 +146,22 @@
         let table = RouteTable {
             version,
             limits,
+            directory: None,
             routes,
             by_host: HashMap::new(),
         };
         table.with_index()
     }
 
+    /// Returns the table with organisations, whose keys requests need.
+    pub fn with_directory(mut self, directory: Directory) -> RouteTable {
+        self.directory = Some(directory);
+        self
+    }
+
     /// Rebuilds the index, which is not serialized.
     pub fn with_index(mut self) -> RouteTable {
+        self.directory = self.directory.map(Directory::with_index);
         self.by_host.clear();
         for (i, route) in self.routes.iter().enumerate() {
             self.by_host.entry(route.host.clone()).or_default().push(i);
--- a/src/error.rs
+++ b/src/error.rs
@@ -65,6 +65,10 @@
     Withdrawn,
     /// The peer uses a protocol version that this node does not support.
     Version,
+    /// The quota of the organisation is used up.
+    OverQuota,
+    /// The node cannot prove that its configuration is recent enough to accept keys.
+    StaleConfiguration,
 }
 
 /// Reason why it is not known whether a call was run.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -53,6 +53,10 @@
     /// Name of a service, such as `payments`.
     ServiceName
 }
+name_type! {
+    /// Name of an organisation, whose callers share keys, a priority and a quota.
+    OrganisationName
+}
 name_type! {
     /// Name of an instance, unique in the fleet, such as `payments-3`.
     InstanceName
--- a/src/protocol/advice.rs
+++ b/src/protocol/advice.rs
@@ -121,6 +121,14 @@
             "Wait for `Retry-After`. If it persists, check the platform and the peers.",
         ),
         NotRunKind::Withdrawn => row("The caller withdrew the call.", "None."),
+        NotRunKind::OverQuota => row(
+            "The organisation has used up its quota over the whole fleet.",
+            "Wait for `Retry-After`. Raise the organisation's rate if the load is wanted.",
+        ),
+        NotRunKind::StaleConfiguration => row(
+            "The node cannot prove that its configuration is recent enough to accept keys.",
+            "Wait for `Retry-After`. Check the platform's store and the links between nodes.",
+        ),
         NotRunKind::Version => row(
             "The peer uses a protocol version that this node does not support.",
             "Complete the upgrade.",
--- a/src/protocol/error_response.rs
+++ b/src/protocol/error_response.rs
@@ -64,6 +64,8 @@
         NotRunKind::NotReady => (503, SHORT_RETRY),
         NotRunKind::Withdrawn => (499, None),
         NotRunKind::Version => (505, None),
+        NotRunKind::OverQuota => (429, SHORT_RETRY),
+        NotRunKind::StaleConfiguration => (503, SHORT_RETRY),
     }
 }
 
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -2,6 +2,8 @@
 //!
 //! Messages are encoded with postcard, so the order of fields and variants is the wire format.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use serde::Deserialize;
@@ -9,12 +11,14 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::call::Repetition;
+use crate::coordination::organisations::holder::Grant;
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
 use crate::fingerprint::Fingerprint;
 use crate::http1::Header;
 use crate::instance::InstanceName;
+use crate::instance::OrganisationName;
 use crate::memory::Body;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
@@ -38,6 +42,9 @@
 /// Length of the part of a body in one [`Frame::Data`] message, in bytes.
 pub const DATA_BYTES: usize = 32 * 1024;
 
+/// Unit of the age of a configuration.
+pub const CONFIG_AGE_UNIT: Duration = Duration::from_millis(10);
+
 /// Size of the length prefix of each message, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -69,6 +76,8 @@
     pub id: String,
     /// Service of the instance at whose node the request entered the fleet.
     pub caller_service: String,
+    /// Organisation that sent the request, if it came with a key.
+    pub organisation: Option<OrganisationName>,
     /// HTTP method.
     pub method: String,
     /// Path and query.
@@ -131,6 +140,9 @@
     pub is_root: bool,
     /// Version of the configuration that the replying instance applies.
     pub config_version: u64,
+    /// Time since that configuration was known to be the newest one, in units of
+    /// [`CONFIG_AGE_UNIT`]; [`u16::MAX`] if it is longer or unknown.
+    pub config_age: u16,
 }
 
 /// Outcome of a [`RunRequest`].
@@ -159,7 +171,7 @@
 }
 
 /// A message between two nodes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// First message on a connection, sent by the node that opened it.
     Hello {
@@ -199,6 +211,24 @@
         /// Number of bytes that may be sent in addition to earlier credit.
         bytes: u64,
     },
+    /// Asks the holder of an organisation's quota for tokens.
+    QuotaAsk {
+        /// Number of the question, unique on the connection.
+        number: u32,
+        /// The organisation.
+        organisation: OrganisationName,
+        /// Number of tokens.
+        wanted: u32,
+        /// Whether a new holder passes the question on to the previous one.
+        forwarded: bool,
+    },
+    /// Reply to [`Frame::QuotaAsk`].
+    QuotaGrant {
+        /// Number of the question.
+        number: u32,
+        /// The tokens, unless the receiver does not hold the quota.
+        grant: Option<Grant>,
+    },
     /// Keep-alive probe.
     Ping,
     /// Reply to [`Frame::Ping`].
--- a/src/protocol/store_query.rs
+++ b/src/protocol/store_query.rs
@@ -90,16 +90,18 @@
 }
 
 /// Result of a [`Query`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueryResult {
     /// Revision of the store at the read, or [`CACHED_REVISION`].
     pub revision: u64,
     /// Data read.
     pub content: Content,
+    /// Time since the data was known to be the newest, in milliseconds, if that is known.
+    pub age_ms: Option<u32>,
 }
 
 /// Data that a [`Query`] read from the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Content {
     /// The configuration; `None` if there is none or it did not change.
     Routes(Option<RouteTable>),
--- a/src/protocol/sync.rs
+++ b/src/protocol/sync.rs
@@ -28,11 +28,15 @@
 }
 
 /// Reply of a node that is asked for what it has read from the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SyncReply {
     /// Whether the replying node reads the store itself and has read it within the last seconds. If
     /// not, the asking node must read the store on its own.
     pub fresh: bool,
+    /// Version of the configuration that the replying node applies.
+    pub config_version: u64,
+    /// Time since that was known to be the newest one, in milliseconds, if that is known.
+    pub config_age_ms: Option<u32>,
     /// The configuration, if it is newer than the known one.
     pub routes: Option<RouteTable>,
     /// The list of targets, if it is newer than the known one.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -22,6 +22,8 @@
     service: &'a ServiceName,
     pick: &'a Pick,
     started_at: Time,
+    /// Start of the attempt on the boot clock.
+    asked: Time,
     reported: bool,
 }
 
@@ -40,6 +42,7 @@
             service,
             pick,
             started_at,
+            asked: relay.boot_now(),
             reported: false,
         }
     }
@@ -77,6 +80,7 @@
         };
         if let Some(load) = reply.load {
             self.relay.handle_peer_version(load.config_version);
+            self.relay.record_reported_proof(&load, self.asked);
         }
         let mut coordination = self.relay.coordination();
         coordination
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -13,6 +13,7 @@
 use crate::clock::Time;
 use crate::coordination::hold;
 use crate::coordination::hold::HOLD_PAUSE;
+use crate::coordination::organisations::Organisation;
 use crate::coordination::retry_after;
 use crate::coordination::route;
 use crate::coordination::route::Route;
@@ -27,6 +28,7 @@
 use crate::http1::Header;
 use crate::http1::reader::Request;
 use crate::instance::InstanceName;
+use crate::instance::OrganisationName;
 use crate::instance::ServiceName;
 use crate::memory::Body;
 use crate::protocol::frame;
@@ -35,7 +37,10 @@
 use crate::relay::CoordinationState;
 use crate::relay::Relay;
 use crate::relay::attempt::AttemptGuard;
+use crate::relay::identity;
+use crate::relay::identity::IdentityError;
 use crate::relay::peer_client::Reply;
+use crate::relay::quota::QuotaRefusal;
 use crate::relay::response::CallerResponse;
 use crate::relay::run;
 
@@ -50,6 +55,10 @@
 /// traffic is expensive, but a sub-call that waits too long wastes the run that made it.
 const OVERLOADED_LOAD: f64 = 1.25;
 
+/// Share of the requests of an organisation over its quota that is taken to be admitted, on which the
+/// spread of their delays depends.
+const OVER_QUOTA_SHARE: f64 = 0.3;
+
 /// Load of the local target, in percent, at and above which it is no longer preferred to others.
 const LOCAL_BUSY_PERCENT: u16 = 80;
 
@@ -61,10 +70,16 @@
     id: &'a str,
     service: ServiceName,
     is_root: bool,
+    /// Organisation that sent the request, if it came with a key.
+    organisation: Option<Arc<Organisation>>,
+    /// Priority by organisation and route; 0 is the highest.
+    priority: u8,
     /// Whether the request is attributed to a repeated run of the local target.
     inherits_repetition: bool,
     arrived: Time,
     deadline: Time,
+    /// Whether the configuration has organisations, so that keys are not passed on.
+    has_keys: bool,
     /// Whether the request may be running. While it may, it must not be reported as not run.
     possibly_running: AtomicBool,
 }
@@ -97,7 +112,27 @@
         );
         return CallerResponse::from_node(404, "no route");
     };
-    let Some(call) = build_call(relay, route, request, id, caller_timeout, arrived) else {
+    let organisation = match identity::identify(relay, &table, route, &request.head) {
+        Ok(organisation) => organisation,
+        Err(e) => {
+            log::info!(
+                request:% = id, route:% = route.name, version = table.version,
+                age_ms = relay.config_age().map_or(-1, |age| age.as_millis() as i64), error:% = e;
+                "request is not accepted"
+            );
+            return reject(relay, route, e, caller_timeout.unwrap_or(route.timeout));
+        }
+    };
+    let call = build_call(
+        relay,
+        route,
+        request,
+        id,
+        organisation,
+        caller_timeout,
+        arrived,
+    );
+    let Some(call) = call else {
         return CallerResponse::from_node(503, "route without service");
     };
     let response = call.respond().await;
@@ -107,16 +142,36 @@
     response
 }
 
+/// Answers a request whose key is not accepted.
+fn reject(relay: &Relay, route: &Route, e: IdentityError, remaining: Duration) -> CallerResponse {
+    match e {
+        IdentityError::Unauthorized => {
+            relay.metrics().record_unauthorized();
+            CallerResponse::from_node(401, &e.to_string())
+        }
+        IdentityError::Stale => {
+            let kind = NotRunKind::StaleConfiguration;
+            relay.metrics().record_refusal(&route.name, kind);
+            let wait = retry_after::not_ready(remaining);
+            CallerResponse::from_node(503, &kind.to_string()).with_retry_after(wait)
+        }
+    }
+}
+
 fn build_call<'a>(
     relay: &'a Arc<Relay>,
     route: &'a Arc<Route>,
     request: &'a Request,
     id: &'a str,
+    organisation: Option<Arc<Organisation>>,
     caller_timeout: Option<Duration>,
     arrived: Time,
 ) -> Option<Call<'a>> {
     let service = relay.coordination().split.next(route)?;
-    let is_root = relay.coordination().downstream_ratios.is_root(&route.name);
+    // Targets have no keys.
+    let is_root =
+        organisation.is_some() || relay.coordination().downstream_ratios.is_root(&route.name);
+    let priority = organisation.as_ref().and_then(|o| o.priority);
     let repeated_calls = &mut relay.coordination().repeated_calls;
     let inherits_repetition = !is_root && repeated_calls.take(&route.name, arrived);
     let remaining = caller_timeout.map_or(route.timeout, |caller_timeout| {
@@ -129,9 +184,16 @@
         id,
         service,
         is_root,
+        organisation,
+        priority: route::request_priority(priority, route.priority),
         inherits_repetition,
         arrived,
         deadline: arrived.plus(remaining),
+        has_keys: relay
+            .view()
+            .routes
+            .as_ref()
+            .is_some_and(|t| t.directory.is_some()),
         possibly_running: AtomicBool::new(false),
     })
 }
@@ -163,7 +225,7 @@
         let left = self.deadline.since(self.relay.now());
         tokio::select! {
             biased;
-            result = self.dispatch() => match result {
+            result = self.run_within_quota() => match result {
                 Ok(response) => response,
                 Err(ErrorKind::NotRun(kind)) => {
                     self.record_rejection();
@@ -204,12 +266,8 @@
             rng,
             ..
         } = &mut *coordination;
-        let share = root_admission.record_arrival(
-            &self.route.name,
-            self.route.priority,
-            downstream_ratios,
-            now,
-        );
+        let share =
+            root_admission.record_arrival(&self.route.name, self.priority, downstream_ratios, now);
         if share >= 1.0 {
             return None;
         }
@@ -228,6 +286,45 @@
             .record_rejection(&self.route.name, now);
     }
 
+    /// Runs the request if the quota of its organisation has room for it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Call::dispatch`].
+    async fn run_within_quota(&self) -> Result<CallerResponse, ErrorKind> {
+        let organisation = self.organisation.as_ref();
+        if let Some((name, quota)) = organisation.and_then(|o| Some((&o.name, o.quota.as_ref()?)))
+            && let Err(refusal) = self.relay.take_quota(name, quota).await
+        {
+            return Ok(self.refuse_for_quota(name, refusal));
+        }
+        self.dispatch().await
+    }
+
+    /// Answers that the request was not run, because of the quota of its organisation.
+    fn refuse_for_quota(&self, name: &OrganisationName, refusal: QuotaRefusal) -> CallerResponse {
+        let remaining = self.deadline.since(self.relay.now());
+        let wait = {
+            let mut coordination = self.relay.coordination();
+            retry_after::after_refusal(remaining, OVER_QUOTA_SHARE, &mut coordination.rng)
+        };
+        let wait = wait.max(refusal.retry_in);
+        log::info!(
+            request:% = self.id, route:% = self.route.name, organisation:% = name,
+            kind:% = refusal.kind, took_ms = self.took_ms(),
+            retry_after_ms = wait.as_millis() as u64;
+            "refused"
+        );
+        self.relay
+            .metrics()
+            .record_refusal(&self.route.name, refusal.kind);
+        let status = match refusal.kind {
+            NotRunKind::OverQuota => 429,
+            _ => 503,
+        };
+        CallerResponse::from_node(status, &refusal.kind.to_string()).with_retry_after(wait)
+    }
+
     /// Sends the request to one instance after another until one answers. An attempt counts towards
     /// `max_attempts` of the route unless the request was refused before it reached the target. If
     /// no instance was available, the request is held for a moment and starts over.
@@ -376,7 +473,7 @@
     /// admitted and has already used capacity.
     fn queue_priority(&self) -> Priority {
         match self.is_root {
-            true => route::queue_priority(self.route.priority),
+            true => route::queue_priority(self.priority),
             false => Priority::Critical,
         }
     }
@@ -422,10 +519,11 @@
     fn run_request(&self, pick: &Pick, repetition: Repetition, now: Time) -> RunRequest {
         let header_names = self.relay.header_names();
         let head = &self.request.head;
+        let has_keys = self.has_keys;
         let forwarded = head
             .headers
             .iter()
-            .filter(|(n, _)| !header_names.is_set_by_node(n));
+            .filter(|(n, _)| !header_names.is_set_by_node(n) && !(has_keys && identity::is_key(n)));
         let forwarded: Vec<Header> = forwarded.cloned().collect();
         RunRequest {
             number: 0,
@@ -434,12 +532,13 @@
             route: self.route.name.to_string(),
             config_version: self.relay.config_version(),
             remaining_ms: self.deadline.since(now).as_millis() as u32,
-            priority: self.route.priority,
+            priority: self.priority,
             idempotent: self.route.idempotent,
             is_root: self.is_root,
             repetition,
             id: self.id.to_owned(),
             caller_service: self.relay.cfg().service.to_string(),
+            organisation: self.organisation.as_ref().map(|o| o.name.clone()),
             method: head.method.clone(),
             path: head.target.clone(),
             host: head.host.clone(),
--- a/src/relay/header_names.rs
+++ b/src/relay/header_names.rs
@@ -11,6 +11,8 @@
     pub target_instance: &'static str,
     /// Service of the instance at which the request began.
     pub caller_service: &'static str,
+    /// Name of the organisation that sent the request.
+    pub organisation: &'static str,
     /// Signature that proves that a response was made by a target.
     pub signature: &'static str,
     /// Present in a response if the target did not run the request.
@@ -29,6 +31,7 @@
             self.deadline_ms,
             self.target_instance,
             self.caller_service,
+            self.organisation,
         ];
         names.iter().any(|known| known.eq_ignore_ascii_case(name))
     }
--- a/src/relay/load_report.rs
+++ b/src/relay/load_report.rs
@@ -60,6 +60,7 @@
             cost_ms: cost_ms as u16,
             is_root,
             config_version: self.config_version(),
+            config_age: self.reported_config_age(),
         }
     }
 }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -30,6 +30,7 @@
     request_time: HistogramVec,
     refused: IntCounterVec,
     failed: IntCounterVec,
+    unauthorized: IntCounter,
     runs: IntCounterVec,
     run_time: HistogramVec,
     queue_time: HistogramVec,
@@ -77,6 +78,11 @@
                 "Requests whose outcome is unknown",
                 &["route", "kind"],
             ),
+            unauthorized: counter(
+                r,
+                "unauthorized",
+                "Requests that were rejected because their key is missing or unknown",
+            ),
             runs: counter_vec(r, "runs", "Runs at the local target", &["route", "outcome"]),
             run_time: histogram_vec(
                 r,
@@ -130,6 +136,11 @@
             .inc();
     }
 
+    /// Counts a request with a missing or unknown key.
+    pub fn record_unauthorized(&self) {
+        self.unauthorized.inc();
+    }
+
     /// Counts a request whose outcome is unknown.
     pub fn record_failure(&self, route: &str, kind: UnknownKind) {
         self.failed
@@ -214,6 +225,11 @@
             ("targets", view.targets.len() as i64),
             ("configuration", version as i64),
             ("ready", i64::from(relay.is_ready())),
+            ("held_quotas", relay.held_quotas() as i64),
+            (
+                "configuration_age_ms",
+                relay.config_age().map_or(-1, |age| age.as_millis() as i64),
+            ),
         ];
         for (what, value) in state {
             self.state.with_label_values(&[what]).set(value);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,7 +15,9 @@
 pub mod caller_server;
 mod caller_table;
 pub mod descriptors;
+mod freshness;
 pub mod header_names;
+mod identity;
 mod idle_connections;
 pub mod incoming_body;
 mod incoming_reply;
@@ -29,6 +31,7 @@
 mod peer_connection;
 pub mod peer_server;
 mod peer_writer;
+mod quota;
 pub mod reader_sync;
 mod repeated_run;
 pub mod response;
@@ -62,6 +65,8 @@
 use crate::coordination::crash_detector::CrashDetector;
 use crate::coordination::fanout::FanoutEstimator;
 use crate::coordination::link_budget::LinkConfig;
+use crate::coordination::organisations::freshness::Freshness;
+use crate::coordination::organisations::quota::QuotaTerms;
 use crate::coordination::origin::RequestOrigins;
 use crate::coordination::poison::Suspects;
 use crate::coordination::repeated_calls::RepeatedCalls;
@@ -125,6 +130,11 @@
     pub retry_slack: f64,
     /// Sliding window over which `retry_ratio` is measured.
     pub retry_window: Duration,
+    /// Time after the withdrawal of a key during which requests may still run with it. Without it,
+    /// that is not bounded.
+    pub revocation_bound: Option<Duration>,
+    /// How far the fleet may exceed the quotas of organisations.
+    pub quota_terms: QuotaTerms,
     /// Limit on the memory for messages, in bytes. A change takes effect at a restart.
     pub message_memory: usize,
     /// Descriptors of the process, divided among its connections.
@@ -163,6 +173,10 @@
     cfg: RwLock<Arc<RelayConfig>>,
     header_names: HeaderNames,
     clock: Clock,
+    boot_clock: Clock,
+    /// Proof that the configuration is recent.
+    freshness: Mutex<Freshness>,
+    quotas: quota::Quotas,
     store: StoreReader,
     store_health: Mutex<StoreHealth>,
     view: RwLock<Arc<StoreView>>,
@@ -271,6 +285,9 @@
             synced_at: Mutex::default(),
             incarnation,
             clock,
+            boot_clock: Clock::boot(),
+            freshness: Mutex::default(),
+            quotas: quota::Quotas::default(),
         }
     }
 
--- a/src/relay/peer_client.rs
+++ b/src/relay/peer_client.rs
@@ -16,9 +16,11 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
+use crate::coordination::organisations::holder::Grant;
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::error::UnknownKind;
+use crate::instance::OrganisationName;
 use crate::memory::MemoryBudget;
 use crate::protocol::frame;
 use crate::protocol::frame::Frame;
@@ -33,6 +35,7 @@
 use crate::relay::peer_connection::Command;
 use crate::relay::peer_connection::PeerConnection;
 use crate::relay::peer_connection::PeerFrames;
+use crate::relay::peer_connection::QuotaQuestion;
 use crate::relay::socket;
 
 /// Timeout of a connection attempt to another node.
@@ -160,6 +163,26 @@
         self.ask(address, max_time, command).await
     }
 
+    /// Asks the node at `address` for tokens of an organisation's quota, and waits at most
+    /// `max_time`. Returns nothing if the node cannot be reached, and no tokens if it does not hold
+    /// the quota.
+    pub async fn ask_quota(
+        self: &Arc<PeerClient>,
+        address: SocketAddr,
+        organisation: &OrganisationName,
+        wanted: u32,
+        forwarded: bool,
+        max_time: Duration,
+    ) -> Option<Option<Grant>> {
+        let question = QuotaQuestion {
+            organisation: organisation.clone(),
+            wanted,
+            forwarded,
+        };
+        let command = |tx| Command::AskQuota(question, tx);
+        self.ask(address, max_time, command).await
+    }
+
     /// Sends a command that has a reply, and waits at most `max_time` for it. Returns nothing on
     /// any failure.
     async fn ask<F, T>(
@@ -336,6 +359,7 @@
             Command::Run(_, tx) => drop(tx.send(Reply::not_run(NotRunKind::TargetUnreachable))),
             Command::Read(_, tx) => drop(tx.send(None)),
             Command::Sync(_, tx) => drop(tx),
+            Command::AskQuota(_, tx) => drop(tx),
             Command::Cancel(_) | Command::Send(_) => (),
         }
     }
--- a/src/relay/peer_connection.rs
+++ b/src/relay/peer_connection.rs
@@ -15,8 +15,10 @@
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::coordination::organisations::holder::Grant;
 use crate::error::UnknownKind;
 use crate::fingerprint;
+use crate::instance::OrganisationName;
 use crate::memory::MemoryBudget;
 use crate::protocol::frame;
 use crate::protocol::frame::FRAME_VERSION;
@@ -56,12 +58,23 @@
     Read(Query, oneshot::Sender<Option<QueryResult>>),
     /// Ask the other node for what it has read from the store.
     Sync(KnownState, oneshot::Sender<SyncReply>),
+    /// Ask the other node for tokens of a quota.
+    AskQuota(QuotaQuestion, oneshot::Sender<Option<Grant>>),
     /// Cancel the request with this number.
     Cancel(u32),
     /// Send a message that has no reply.
     Send(Frame),
 }
 
+/// Question for tokens of an organisation's quota.
+#[derive(Clone, Debug)]
+pub(super) struct QuotaQuestion {
+    pub(super) organisation: OrganisationName,
+    pub(super) wanted: u32,
+    /// Whether a new holder asks the previous one.
+    pub(super) forwarded: bool,
+}
+
 /// Messages that arrive on a connection.
 pub(super) type PeerFrames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 
@@ -84,6 +97,7 @@
     outgoing: OutgoingBodies,
     pending_reads: HashMap<u32, oneshot::Sender<Option<QueryResult>>>,
     pending_syncs: HashMap<u32, oneshot::Sender<SyncReply>>,
+    pending_grants: HashMap<u32, oneshot::Sender<Option<Grant>>>,
     last_read_number: u32,
 }
 
@@ -97,6 +111,7 @@
             outgoing: OutgoingBodies::default(),
             pending_reads: HashMap::new(),
             pending_syncs: HashMap::new(),
+            pending_grants: HashMap::new(),
             last_read_number: 0,
         }
     }
@@ -187,7 +202,8 @@
     /// Returns whether a reply of the other node is due.
     fn has_pending(&self) -> bool {
         let runs = self.pending_requests() > 0;
-        runs || !self.pending_reads.is_empty() || !self.pending_syncs.is_empty()
+        let reads = !self.pending_reads.is_empty() || !self.pending_syncs.is_empty();
+        runs || reads || !self.pending_grants.is_empty()
     }
 
     fn handle_command(&mut self, command: Command, out: &mut BytesMut) {
@@ -212,6 +228,17 @@
                 self.pending_syncs.insert(number, tx);
                 frame::append_or_log(out, &Frame::Sync { number, known });
             }
+            Command::AskQuota(question, tx) => {
+                let number = self.next_read_number();
+                self.pending_grants.insert(number, tx);
+                let ask = Frame::QuotaAsk {
+                    number,
+                    organisation: question.organisation,
+                    wanted: question.wanted,
+                    forwarded: question.forwarded,
+                };
+                frame::append_or_log(out, &ask);
+            }
             Command::Cancel(number) => {
                 self.outgoing.remove(number);
                 let pending = self.pending_runs.remove(&number).is_some();
@@ -298,6 +325,12 @@
                     drop(tx.send(result));
                 }
             }
+            Frame::QuotaGrant { number, grant } => {
+                if let Some(tx) = self.pending_grants.remove(&number) {
+                    // A send fails only if nobody waits for the tokens any more.
+                    let _ = tx.send(grant);
+                }
+            }
             Frame::SyncReply { number, reply } => {
                 if let Some(tx) = self.pending_syncs.remove(&number) {
                     drop(tx.send(*reply));
@@ -319,6 +352,7 @@
         self.outgoing.clear();
         self.pending_reads.clear();
         self.pending_syncs.clear();
+        self.pending_grants.clear();
     }
 
     /// Fails the pending requests that may run again elsewhere, and all reads.
@@ -334,6 +368,7 @@
         self.outgoing.clear();
         self.pending_reads.clear();
         self.pending_syncs.clear();
+        self.pending_grants.clear();
     }
 
     /// Waits for the replies to requests that must not run again, after the other node has been
--- a/src/relay/peer_server.rs
+++ b/src/relay/peer_server.rs
@@ -171,6 +171,23 @@
         Frame::Crash(report) => relay.record_crash_report(&report),
         Frame::Read { number, query } => spawn_store_read(relay, number, query, tx),
         Frame::Sync { number, known } => spawn_sync(relay, number, known, tx),
+        Frame::QuotaAsk {
+            number,
+            organisation,
+            wanted,
+            forwarded,
+        } => {
+            let (relay, tx) = (relay.clone(), tx.clone());
+            tokio::spawn(async move {
+                let grant = relay.grant_quota(&organisation, wanted, forwarded).await;
+                if send(&tx, Frame::QuotaGrant { number, grant })
+                    .await
+                    .is_err()
+                {
+                    log::debug!("tokens dropped, the connection of the asking node is closed");
+                }
+            });
+        }
         _ => (),
     }
     Ok(())
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -20,6 +20,7 @@
 use crate::protocol::sync::SyncReply;
 use crate::protocol::sync::TargetList;
 use crate::relay::Relay;
+use crate::relay::freshness::millis;
 
 /// Number of nodes of a failure domain that read the store. A second one serves the followers
 /// without a pause when the first fails.
@@ -139,6 +140,8 @@
         let newer_list = view.list_revision > known.list_revision;
         SyncReply {
             fresh: true,
+            config_version: self.config_version(),
+            config_age_ms: self.config_age().map(millis),
             routes: newer_routes.map(|table| table.as_ref().clone()),
             list: newer_list.then(|| TargetList {
                 targets: view.listed_targets(),
@@ -190,10 +193,18 @@
             continue;
         };
         let known = relay.known_state();
+        let asked = relay.boot_now();
         let max_time = SYNC_WAIT + REPLY_MARGIN;
         let reply = relay.peer_client().sync(address, known, max_time).await;
         match reply.filter(|reply| reply.fresh) {
-            Some(reply) => relay.apply_sync(reply, relay.now()),
+            Some(reply) => {
+                let proof = (reply.config_version, reply.config_age_ms);
+                relay.apply_sync(reply, relay.now());
+                if let (version, Some(age_ms)) = proof {
+                    let age = Duration::from_millis(u64::from(age_ms));
+                    relay.record_proof(version, asked, age);
+                }
+            }
             None => {
                 if !relay.is_following() {
                     relay.stop_following();
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -278,6 +278,9 @@
         (header_names.target_instance, req.target.to_string()),
         (header_names.caller_service, req.caller_service.clone()),
     ];
+    let organisation = req.organisation.iter();
+    let organisation = organisation.map(|name| (header_names.organisation, name.to_string()));
+    let node_headers = node_headers.into_iter().chain(organisation);
     headers.extend(node_headers.map(|(name, value)| (name.to_owned(), value.into_bytes())));
     headers
 }
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -10,6 +10,7 @@
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
 use crate::relay::Relay;
+use crate::relay::freshness::millis;
 use crate::relay::store_sync::StoreError;
 use crate::relay::store_sync::StoreHealth;
 
@@ -29,7 +30,11 @@
     /// If the store does not answer this node, or no longer has the revision of the query.
     pub async fn read_store(&self, query: Query) -> Result<QueryResult, StoreError> {
         let started_at = self.now();
-        let result = self.store.read(query.clone()).await;
+        let asked = self.boot_now();
+        let mut result = self.store.read(query.clone()).await;
+        if let Ok(result) = &mut result {
+            result.age_ms = Some(self.proof_age(&query, result, asked));
+        }
         log::debug!(
             query:? = query, took_ms = self.now().since(started_at).as_millis() as u64,
             revision = result.as_ref().map_or(0, |r| r.revision),
@@ -57,7 +62,11 @@
         match self.read_store(query.clone()).await {
             Ok(result) => Some(result),
             Err(StoreError::Compacted) => None,
-            Err(_) => self.view().answer(&query),
+            Err(_) => {
+                let age_ms = self.config_age().map(millis);
+                let cached = self.view().answer(&query);
+                cached.map(|cached| QueryResult { age_ms, ..cached })
+            }
         }
     }
 
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -19,6 +19,7 @@
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
 use crate::relay::Relay;
+use crate::relay::freshness::millis;
 
 /// Longest wait for a change in one call, before jitter.
 const MAX_WATCH: Duration = Duration::from_secs(20);
@@ -236,12 +237,15 @@
 async fn read_through_peers(relay: &Arc<Relay>, query: &Query) -> Option<QueryResult> {
     for address in relay.sample_peers(MAX_PEERS_ASKED) {
         let max_time = query.max_wait() + CALL_TIMEOUT_MARGIN;
+        let asked = relay.boot_now();
         let result = relay
             .peer_client()
             .read_store(address, query.clone(), max_time)
             .await;
-        if result.is_some() {
-            return result;
+        if let Some(mut result) = result {
+            let took = millis(relay.boot_now().since(asked));
+            result.age_ms = result.age_ms.map(|age| age.saturating_add(took));
+            return Some(result);
         }
     }
     None
@@ -285,9 +289,15 @@
         match result {
             Ok(result) => {
                 revision = Some(result.revision);
+                let mut proved = relay.config_version();
                 if let Content::Routes(Some(table)) = result.content {
+                    proved = table.version;
                     relay.apply_routes(table.with_index(), result.revision);
                 }
+                if let Some(age_ms) = result.age_ms {
+                    let age = Duration::from_millis(u64::from(age_ms));
+                    relay.record_proof(proved, relay.boot_now(), age);
+                }
                 if result.revision != CACHED_REVISION {
                     backoff = Backoff::new();
                 } else {
--- a/src/relay/store_view.rs
+++ b/src/relay/store_view.rs
@@ -67,6 +67,7 @@
         Some(QueryResult {
             revision: CACHED_REVISION,
             content,
+            age_ms: None,
         })
     }
 
--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -49,6 +49,7 @@
         for route in table.routes() {
             log::debug!(version = table.version, route:? = route; "route in force");
         }
+        self.retain_organisations();
         let mut coordination = self.coordination();
         coordination.split.retain_routes(&table);
         let known: HashSet<&str> = table.routes().map(|r| &*r.name).collect();
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -41,6 +41,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(500),
         priority: 1,
+        public: false,
         max_attempts: 2,
         weighted_services: parts.collect(),
     }
--- a/tests/errors.rs
+++ b/tests/errors.rs
@@ -8,7 +8,7 @@
 #[test]
 fn page_lists_all_kinds() {
     let text = advice::render_page();
-    assert_eq!(text.matches("| not-run |").count(), 24);
+    assert_eq!(text.matches("| not-run |").count(), 26);
     assert_eq!(text.matches("| unknown |").count(), 10);
     page::assert_page("operators/errors.md", &text);
 }
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -31,6 +31,7 @@
         repetition: Repetition::None,
         id: "9c41d07be2a35f68".to_owned(),
         caller_service: "huvo11a".to_owned(),
+        organisation: None,
         method: "GET".to_owned(),
         path: "/leny950/2f".to_owned(),
         host: "hulo84.example".to_owned(),
@@ -48,6 +49,7 @@
         cost_ms: 48,
         is_root: true,
         config_version: 12,
+        config_age: 30,
     };
     let frames = [
         run_frame(),
@@ -99,6 +101,7 @@
             cost_ms: 48,
             is_root: true,
             config_version: 12,
+            config_age: 30,
         },
         streamed_len: None,
     };
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,6 +14,8 @@
 mod crashes;
 #[path = "relays/draining.rs"]
 mod draining;
+#[path = "relays/organisations.rs"]
+mod organisations;
 #[path = "relays/repeated_runs.rs"]
 mod repeated_runs;
 #[path = "relays/restart.rs"]
--- /dev/null
+++ b/tests/relays/organisations.rs
@@ -0,0 +1,224 @@
+//! Organisations at real nodes: keys, the name that targets get, withdrawals and quotas.
+
+use std::time::Duration;
+
+use dragonflylead::coordination::organisations::ApiKeyHash;
+use dragonflylead::coordination::organisations::Directory;
+use dragonflylead::coordination::organisations::Organisation;
+use dragonflylead::coordination::organisations::directory::Quota;
+use dragonflylead::coordination::route::RouteTable;
+use dragonflylead::instance::OrganisationName;
+
+use crate::support::header_names::HEADER_NAMES;
+use crate::support::relay_fleet::Caller;
+use crate::support::relay_fleet::RelayFleet;
+use crate::support::relay_fleet::table;
+
+/// Time after the withdrawal of a key during which requests may still run with it.
+const REVOCATION_BOUND: Duration = Duration::from_millis(2_500);
+
+fn keyed_table(version: u64, keys: &[&str], quota: Option<Quota>) -> RouteTable {
+    let organisation = Organisation {
+        name: OrganisationName::new("org"),
+        keys: keys.iter().map(|key| ApiKeyHash::of(key)).collect(),
+        priority: Some(1),
+        quota,
+    };
+    table(version, &["a", "b"]).with_directory(Directory::new(vec![organisation]).unwrap())
+}
+
+async fn publish(fleet: &RelayFleet, table: RouteTable) {
+    let version = table.version;
+    fleet.store.publish(table);
+    fleet
+        .wait_until(|fleet| {
+            let mut relays = fleet.members.iter().map(|member| member.node.relay());
+            relays.all(|relay| relay.config_version() == version && relay.may_accept_keys())
+        })
+        .await;
+}
+
+async fn start(block: u8) -> RelayFleet {
+    RelayFleet::start_with(block, &["a", "b"], |cfg| {
+        cfg.revocation_bound = Some(REVOCATION_BOUND);
+    })
+    .await
+}
+
+/// Sends a request with header lines of its own, and returns the status.
+async fn status(fleet: &RelayFleet, id: &str, headers: &str) -> u16 {
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    let text = format!(
+        "GET /b/x HTTP/1.1\r\nHost: h.example\r\nX-Id: {id}\r\nX-Deadline: 5000\r\n{headers}\r\n"
+    );
+    caller.send(text.as_bytes()).await;
+    caller.next_response().await.unwrap().status
+}
+
+/// Guards against keys that are passed on, and against names of organisations that callers forge.
+#[tokio::test]
+async fn a_target_gets_the_name_of_the_organisation_and_not_its_key() {
+    struct Case {
+        id: &'static str,
+        headers: &'static str,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            id: "valid",
+            headers: "Authorization: Bearer k1\r\n",
+            status: 200,
+        },
+        Case {
+            id: "forged name",
+            headers: "X-Organisation: other\r\nAUTHORIZATION: bearer k1\r\nx-organisation: z\r\n",
+            status: 200,
+        },
+        Case {
+            id: "no key",
+            headers: "X-Organisation: org\r\n",
+            status: 401,
+        },
+        Case {
+            id: "unknown key",
+            headers: "Authorization: Bearer k2\r\n",
+            status: 401,
+        },
+        Case {
+            id: "two keys",
+            headers: "Authorization: Bearer k1\r\nAuthorization: Bearer k2\r\n",
+            status: 401,
+        },
+    ];
+    let fleet = start(60).await;
+    publish(&fleet, keyed_table(2, &["k1"], None)).await;
+    for case in cases {
+        assert_eq!(
+            status(&fleet, case.id, case.headers).await,
+            case.status,
+            "{}",
+            case.id
+        );
+        let runs = fleet.members[1].target.runs();
+        let mut runs = runs
+            .iter()
+            .filter(|run| run.header(HEADER_NAMES.request_id) == case.id);
+        let Some(run) = runs.next() else {
+            assert_ne!(case.status, 200, "{}", case.id);
+            continue;
+        };
+        assert_eq!(run.header("authorization"), "", "{}", case.id);
+        let names = run.head.headers.iter();
+        let names = names.filter(|(name, _)| name.eq_ignore_ascii_case(HEADER_NAMES.organisation));
+        let names: Vec<&[u8]> = names.map(|(_, value)| value.as_slice()).collect();
+        assert_eq!(names, [b"org"], "{}", case.id);
+    }
+}
+
+/// Guards against withdrawn keys that a node accepts because nobody tells it: the store turns all
+/// nodes away while the key is withdrawn.
+#[tokio::test]
+async fn a_node_without_proof_accepts_no_keys() {
+    let fleet = start(61).await;
+    publish(&fleet, keyed_table(2, &["k1"], None)).await;
+    assert_eq!(
+        status(&fleet, "before", "Authorization: Bearer k1\r\n").await,
+        200
+    );
+    for member in &fleet.members {
+        fleet
+            .store
+            .refuse_node(member.node.relay().cfg().name.as_str());
+    }
+    let withdrawn = tokio::time::Instant::now();
+    fleet.store.publish(keyed_table(3, &["k2"], None));
+    fleet
+        .wait_until(|fleet| !fleet.members[0].node.relay().may_accept_keys())
+        .await;
+    assert!(withdrawn.elapsed() <= REVOCATION_BOUND);
+    assert_eq!(
+        status(&fleet, "stale", "Authorization: Bearer k1\r\n").await,
+        503
+    );
+    assert_eq!(
+        status(&fleet, "unknown", "Authorization: Bearer k3\r\n").await,
+        503
+    );
+    fleet.store.serve_all_nodes();
+    fleet
+        .wait_until(|fleet| {
+            let relay = fleet.members[0].node.relay();
+            relay.config_version() == 3 && relay.may_accept_keys()
+        })
+        .await;
+    assert_eq!(
+        status(&fleet, "withdrawn", "Authorization: Bearer k1\r\n").await,
+        401
+    );
+    assert_eq!(
+        status(&fleet, "new", "Authorization: Bearer k2\r\n").await,
+        200
+    );
+}
+
+/// Guards against nodes that the store turns away and that refuse all keys although another node
+/// could prove the configuration to them.
+#[tokio::test]
+async fn a_node_that_the_store_turns_away_lives_on_the_proofs_of_others() {
+    let fleet = start(62).await;
+    publish(&fleet, keyed_table(2, &["k1"], None)).await;
+    let refused = fleet.members[0].node.relay().cfg().name.clone();
+    fleet.store.refuse_node(refused.as_str());
+    let until = tokio::time::Instant::now() + REVOCATION_BOUND * 2;
+    let mut number = 0;
+    while tokio::time::Instant::now() < until {
+        let id = format!("r{number}");
+        assert_eq!(
+            status(&fleet, &id, "Authorization: Bearer k1\r\n").await,
+            200,
+            "{id}"
+        );
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against quotas that each node counts for itself.
+#[tokio::test]
+async fn nodes_share_the_quota_of_an_organisation() {
+    let fleet = start(63).await;
+    let quota = Quota {
+        rate: 2.0,
+        burst: 2.0,
+    };
+    publish(&fleet, keyed_table(2, &["k1"], Some(quota))).await;
+    let terms = fleet.members[0].node.relay().cfg().quota_terms;
+    let mut statuses = Vec::new();
+    for number in 0..200 {
+        let mut caller = Caller::connect(fleet.members[number % 2].outbound).await;
+        let text = format!(
+            "GET /b/x HTTP/1.1\r\nHost: h.example\r\nX-Id: q{number}\r\nX-Deadline: 5000\r\n\
+             Authorization: Bearer k1\r\n\r\n"
+        );
+        caller.send(text.as_bytes()).await;
+        let response = caller.next_response().await.unwrap();
+        if response.status == 429 {
+            assert!(response.header("retry-after").is_some());
+        }
+        statuses.push(response.status);
+    }
+    let admitted = statuses.iter().filter(|status| **status == 200).count();
+    let refused = statuses.iter().filter(|status| **status == 429).count();
+    assert!(admitted >= 2, "{admitted} admitted");
+    assert!(
+        admitted as f64 <= terms.allowed(&quota),
+        "{admitted} admitted"
+    );
+    assert_eq!(admitted + refused, 200, "{statuses:?}");
+    let held: usize = fleet
+        .members
+        .iter()
+        .map(|m| m.node.relay().held_quotas())
+        .sum();
+    assert_eq!(held, 1);
+}
--- a/tests/silent_node.rs
+++ b/tests/silent_node.rs
@@ -39,6 +39,7 @@
         repetition: Repetition::None,
         id: "1".to_owned(),
         caller_service: "a".to_owned(),
+        organisation: None,
         method: "POST".to_owned(),
         path: "/".to_owned(),
         host: "h".to_owned(),
--- a/tests/support/header_names.rs
+++ b/tests/support/header_names.rs
@@ -8,6 +8,7 @@
     deadline_ms: "X-Deadline",
     target_instance: "X-Target",
     caller_service: "X-Caller",
+    organisation: "X-Organisation",
     signature: "X-Signature",
     not_run: "X-Not-Run",
     instance: "X-Instance",
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use dragonflylead::coordination::organisations::quota::QuotaTerms;
 use dragonflylead::coordination::route::CallerLimits;
 use dragonflylead::coordination::route::Route;
 use dragonflylead::coordination::route::RouteTable;
@@ -146,6 +147,7 @@
                 return Ok(QueryResult {
                     revision: state.revision,
                     content,
+                    age_ms: None,
                 });
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -182,6 +184,7 @@
         Some(Ok(QueryResult {
             revision: state.revision,
             content,
+            age_ms: None,
         }))
     }
 }
@@ -212,6 +215,7 @@
             timeout: Duration::from_secs(4),
             objective: Duration::from_secs(1),
             priority: 1,
+            public: false,
             max_attempts: 2,
             weighted_services: vec![WeightedService {
                 service: ServiceName::new(service),
@@ -346,6 +350,12 @@
         retry_ratio: 1.0,
         retry_slack: 0.0,
         retry_window: Duration::from_secs(10),
+        revocation_bound: None,
+        quota_terms: QuotaTerms {
+            window: Duration::from_secs(5),
+            overshoot: 0.25,
+            slack: 20.0,
+        },
         message_memory: 1 << 26,
         descriptors: Descriptors::new(4_100),
     }
