Find the pace of a target from how it answers

Callers saw: targets that had just started or come back were flooded or left idle (a fixed ramp of 2 s), and senders chose targets by their own few samples of latency, although the speed of a target changes many times a second.

Change: the node beside a target that states how long work takes learns its usual run time from all answers, and reports the expected time of a run with each reply; senders use it for 1.5 s. After a start or a return, the target gets a quarter of its slots, and one more for each answer that is as fast as usual.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -349,6 +349,7 @@
         .map(|level_report| f64::from(level_report.load_percent.min(MAX_LOAD_PERCENT)) / 100.0);
     let draining = report.result == Err(NotRunKind::Draining.into());
     Observation {
+        run_time: None,
         outcome: attempt_outcome::classify(report.result),
         latency: report.took,
         load,
--- a/src/coordination/ejection.rs
+++ b/src/coordination/ejection.rs
@@ -119,6 +119,11 @@
         self.cold_since = Some(now);
     }
 
+    /// Ends the slow start: the instance reports its own pace.
+    pub fn end_slow_start(&mut self) {
+        self.cold_since = None;
+    }
+
     /// Records a failed attempt and returns whether the instance should be ejected.
     ///
     /// `failure_share` is the recent share of failed calls, from 0 to 1.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -30,6 +30,7 @@
 pub mod members;
 pub mod organisations;
 pub mod origin;
+pub mod pace;
 pub mod pause;
 pub mod plan;
 pub mod poison;
--- a/src/coordination/score.rs
+++ b/src/coordination/score.rs
@@ -10,6 +10,9 @@
 /// Half-life of a reported load.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
 
+/// Time for which a reported time of a run is used.
+const RUN_TIME_TTL: Duration = Duration::from_millis(1_500);
+
 /// Half-life of the failure share while no call is sent.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(10);
 
@@ -81,6 +84,8 @@
 pub struct Score {
     in_flight: u32,
     latency_us: Option<f64>,
+    /// Last reported time of a run in microseconds, and when it was reported.
+    run_time: Option<(f64, Time)>,
     load: DecayingValue,
     failures: DecayingValue,
     last_success: Option<Time>,
@@ -142,6 +147,17 @@
         };
     }
 
+    /// Records the time of a run that the node beside the target expects.
+    pub fn record_run_time(&mut self, time: Duration, now: Time) {
+        self.run_time = Some((time.as_micros() as f64, now));
+    }
+
+    /// Returns the last reported time of a run in microseconds, while it is recent.
+    fn reported_run_time(&self, now: Time) -> Option<f64> {
+        let (time, at) = self.run_time?;
+        (now.since(at) < RUN_TIME_TTL).then_some(time)
+    }
+
     /// Records that the instance refused a call because it is overloaded or draining.
     pub fn record_refusal(&mut self, now: Time) {
         let value = REFUSED_LOAD.max(self.load(now));
@@ -185,7 +201,8 @@
         let mut cost = 1.0;
         if cfg.latency {
             cost *= self
-                .latency_us
+                .reported_run_time(now)
+                .or(self.latency_us)
                 .or(default_latency_us)
                 .unwrap_or(DEFAULT_LATENCY_US);
         }
--- a/src/coordination/target.rs
+++ b/src/coordination/target.rs
@@ -41,6 +41,8 @@
     pub latency: Duration,
     /// Load reported in the response; 1 if all slots are taken.
     pub load: Option<f64>,
+    /// Expected time of a run that the response reports.
+    pub run_time: Option<Duration>,
     /// Incarnation reported in the response.
     pub incarnation: Option<Incarnation>,
     /// Whether the response reported that the instance is draining.
@@ -56,6 +58,7 @@
             outcome,
             latency,
             load: None,
+            run_time: None,
             incarnation: None,
             draining: false,
             bytes: 0,
@@ -158,6 +161,10 @@
         {
             self.score.record_load(load, now);
         }
+        if let Some(run_time) = observation.run_time {
+            self.score.record_run_time(run_time, now);
+            self.health.end_slow_start();
+        }
         eject
     }
 
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -138,6 +138,9 @@
     pub cost_ms: u16,
     /// Whether the requests of the route come from callers and not from targets.
     pub is_root: bool,
+    /// Expected time of a run at the instance that begins now, in milliseconds; 0 if its target does
+    /// not state how long work takes.
+    pub run_ms: u16,
     /// Version of the configuration that the replying instance applies.
     pub config_version: u64,
     /// Time since that configuration was known to be the newest one, in units of
--- a/src/relay/admission_queue.rs
+++ b/src/relay/admission_queue.rs
@@ -22,6 +22,8 @@
 use crate::coordination::backpressure::AdmissionRatio;
 use crate::coordination::backpressure::RatioController;
 use crate::coordination::backpressure::SlotUsage;
+use crate::coordination::pace::Pace;
+use crate::coordination::pace::TargetLoad;
 use crate::error::NotRunKind;
 
 /// Share of the listed slots that is used, because targets slow down when they are nearly full.
@@ -61,6 +63,9 @@
     waiters: HashMap<Ticket, oneshot::Sender<Result<(), NotRunKind>>>,
     running: HashMap<Ticket, Time>,
     mean_run_time: Duration,
+    /// Slots that the list gives for the target, less those that are not used.
+    slots: u32,
+    pace: Pace,
     ratio_controller: RatioController,
     next_ticket: u64,
 }
@@ -82,6 +87,12 @@
         self.ratio_controller.update(slots, now);
     }
 
+    /// Adapts the limit on running requests to the pace of the target.
+    fn update_limit(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let limit = self.pace.limit(self.slots);
+        self.admission.set_slots(limit, now, effects);
+    }
+
     /// Removes a run, and adds it to the average run time unless it was cancelled.
     fn record_run(&mut self, permit: &Permit, now: Time) {
         let Some(started_at) = self.running.remove(&permit.ticket) else {
@@ -91,6 +102,9 @@
             return;
         }
         let took = now.since(started_at);
+        if permit.result == RunResult::Ok {
+            self.pace.record_run(took, self.slots, now);
+        }
         self.mean_run_time = match self.mean_run_time.is_zero() {
             true => took,
             false => {
@@ -119,6 +133,8 @@
             waiters: HashMap::new(),
             running: HashMap::new(),
             mean_run_time: Duration::ZERO,
+            slots: DEFAULT_SLOTS,
+            pace: Pace::default(),
             ratio_controller: RatioController::new(now),
             next_ticket: 0,
         };
@@ -135,10 +151,33 @@
         let now = self.clock.now();
         let mut effects = Vec::new();
         let mut state = self.lock();
-        state.admission.set_slots(used, now, &mut effects);
+        state.slots = used;
+        state.update_limit(now, &mut effects);
         state.apply(effects, now);
     }
 
+    /// Records what the target stated in a response.
+    pub fn record_target_load(&self, load: &TargetLoad) {
+        let now = self.clock.now();
+        self.lock().pace.record_load(load, now);
+    }
+
+    /// Records that the target has just started or come back.
+    pub fn record_target_start(&self) {
+        let now = self.clock.now();
+        let mut effects = Vec::new();
+        let mut state = self.lock();
+        state.pace.record_start();
+        state.update_limit(now, &mut effects);
+        state.apply(effects, now);
+    }
+
+    /// Returns the expected time of a run that begins now, if the target states how long work takes.
+    pub fn expected_run_time(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.lock().pace.run_time(now)
+    }
+
     /// Waits for a slot. Dropping the future withdraws the request.
     ///
     /// # Errors
@@ -240,6 +279,7 @@
         let mut state = self.lock();
         state.waiters.remove(&permit.ticket);
         state.record_run(permit, now);
+        state.update_limit(now, &mut effects);
         if !permit.rejected && !state.admission.withdraw(permit.ticket, now, &mut effects) {
             state
                 .admission
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,6 +1,8 @@
 //! Reports how attempts ended to the coordination state. An attempt is one sending of a request to
 //! one instance.
 
+use std::time::Duration;
+
 use crate::clock::Time;
 use crate::coordination::backpressure::AdmissionRatio;
 use crate::coordination::backpressure::BackpressureReport;
@@ -74,6 +76,7 @@
         };
         let observation = Observation {
             load: reply.load.map(|load| f64::from(load.percent) / 100.0),
+            run_time: reported_run_time(reply),
             draining,
             bytes,
             ..Observation::new(outcome, now.since(self.started_at))
@@ -103,6 +106,12 @@
     }
 }
 
+/// Returns the expected time of a run that a reply reports.
+fn reported_run_time(reply: &Reply) -> Option<Duration> {
+    let ms = reply.load.map_or(0, |load| load.run_ms);
+    (ms > 0).then(|| Duration::from_millis(u64::from(ms)))
+}
+
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
         if self.reported {
--- a/src/relay/load_report.rs
+++ b/src/relay/load_report.rs
@@ -41,6 +41,15 @@
         self.coordination().origins.record(&route, &origin, now);
     }
 
+    /// Returns the expected time of a run at the local target, in milliseconds, or 0 if it does not
+    /// state how long work takes.
+    fn expected_run_ms(&self) -> u16 {
+        let time = self.admission_queue.expected_run_time();
+        time.map_or(0, |time| {
+            u16::try_from(time.as_millis().max(1)).unwrap_or(u16::MAX)
+        })
+    }
+
     /// Returns the load report that goes with a reply to a request of `route`.
     pub fn load_report(&self, route: &str) -> LoadReport {
         let view = self.view();
@@ -59,6 +68,7 @@
             admission_ratio: ratio.to_byte(),
             cost_ms: cost_ms as u16,
             is_root,
+            run_ms: self.expected_run_ms(),
             config_version: self.config_version(),
             config_age: self.reported_config_age(),
         }
--- a/src/relay/local_target.rs
+++ b/src/relay/local_target.rs
@@ -7,13 +7,16 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::coordination::pace::TargetLoad;
 use crate::coordination::poison::CrashReport;
 use crate::error::NotRunKind;
 use crate::fingerprint::Fingerprint;
+use crate::http1::head;
 use crate::instance::InstanceName;
 use crate::relay::CoordinationState;
 use crate::relay::Phase;
 use crate::relay::Relay;
+use crate::relay::target_client::TargetResponse;
 
 /// Time after a failed connection to the local target during which no other is attempted.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(150);
@@ -90,12 +93,25 @@
         }
     }
 
-    /// Lets requests be sent to the local target at once.
+    /// Lets requests be sent to the local target at once. If it could not be reached before, it has
+    /// come back and starts at a low pace.
     pub fn clear_unreachable(&self) {
-        *self
+        let before = self
             .unreachable_until
             .lock()
-            .unwrap_or_else(|p| p.into_inner()) = None;
+            .unwrap_or_else(|p| p.into_inner())
+            .take();
+        if before.is_some() {
+            self.admission_queue.record_target_start();
+        }
+    }
+
+    /// Records what the local target states about its load.
+    pub(super) fn record_target_load(&self, response: &TargetResponse) {
+        let text = head::find_header(&response.headers, self.header_names.load);
+        if let Some(load) = text.and_then(TargetLoad::parse) {
+            self.admission_queue.record_target_load(&load);
+        }
     }
 
     /// Records that the local target answered as another instance than the listed one: it has been
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -205,6 +205,7 @@
 ) -> RunOutcome {
     match target_outcome {
         TargetOutcome::Answered(response) => {
+            relay.record_target_load(&response);
             admitted.permit.set_result(RunResult::Ok);
             relay
                 .coordination()
@@ -214,6 +215,7 @@
             convert_response(relay, response)
         }
         TargetOutcome::Refused(response) => {
+            relay.record_target_load(&response);
             admitted.permit.set_result(RunResult::Failed);
             relay.record_target_response(response.closes);
             if response.status == MISDIRECTED {
--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -216,6 +216,7 @@
         let local = self.local_target();
         self.target_client.clear_idle();
         self.clear_unreachable();
+        self.admission_queue.record_target_start();
         if let Some(local) = &local {
             let max_connections = self.cfg().descriptors.target();
             let max_connections = u32::try_from(max_connections).unwrap_or(u32::MAX);
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -48,6 +48,7 @@
         admission_ratio: 255,
         cost_ms: 48,
         is_root: true,
+        run_ms: 0,
         config_version: 12,
         config_age: 30,
     };
@@ -100,6 +101,7 @@
             admission_ratio: 255,
             cost_ms: 48,
             is_root: true,
+            run_ms: 0,
             config_version: 12,
             config_age: 30,
         },
