--- a/tests/relays/crashes.rs
+++ b/tests/relays/crashes.rs
@@ -101,3 +101,21 @@
         assert_eq!(suspects(&fleet, 0), 0, "{}", case.name);
     }
 }
+
+/// Guards against requests that are held between attempts and reach more targets than their route
+/// allows: one target refuses them, the other one has crashed.
+#[tokio::test]
+async fn attempts_before_a_request_is_held_count() {
+    let fleet = RelayFleet::start(94, &["a", "b", "b"]).await;
+    fleet.members[2].target.crash();
+    let mut caller = Caller::connect(fleet.members[0].outbound).await;
+    for number in 0..8 {
+        let before = fleet.members[1].target.refused();
+        let response = caller
+            .call("GET", "/b/full", &number.to_string(), b"")
+            .await;
+        assert_eq!(response.status, 503);
+        let arrivals = fleet.members[1].target.refused() - before;
+        assert!(arrivals <= 2, "request {number} arrived {arrivals} times");
+    }
+}
--- a/tests/relays/organisations.rs
+++ b/tests/relays/organisations.rs
@@ -90,7 +90,7 @@
             status: 401,
         },
     ];
-    let fleet = start(60).await;
+    let fleet = start(90).await;
     publish(&fleet, keyed_table(2, &["k1"], None)).await;
     for case in cases {
         assert_eq!(
@@ -119,7 +119,7 @@
 /// nodes away while the key is withdrawn.
 #[tokio::test]
 async fn a_node_without_proof_accepts_no_keys() {
-    let fleet = start(61).await;
+    let fleet = start(91).await;
     publish(&fleet, keyed_table(2, &["k1"], None)).await;
     assert_eq!(
         status(&fleet, "before", "Authorization: Bearer k1\r\n").await,
@@ -165,7 +165,7 @@
 /// could prove the configuration to them.
 #[tokio::test]
 async fn a_node_that_the_store_turns_away_lives_on_the_proofs_of_others() {
-    let fleet = start(62).await;
+    let fleet = start(92).await;
     publish(&fleet, keyed_table(2, &["k1"], None)).await;
     let refused = fleet.members[0].node.relay().cfg().name.clone();
     fleet.store.refuse_node(refused.as_str());
@@ -186,7 +186,7 @@
 /// Guards against quotas that each node counts for itself.
 #[tokio::test]
 async fn nodes_share_the_quota_of_an_organisation() {
-    let fleet = start(63).await;
+    let fleet = start(93).await;
     let quota = Quota {
         rate: 2.0,
         burst: 2.0,
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -47,6 +49,7 @@
     pub(crate) address: SocketAddr,
     name: Arc<Mutex<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
+    refused: Arc<AtomicUsize>,
     outbound: Arc<Mutex<Option<SocketAddr>>>,
     silenced_at: Arc<Mutex<Option<Instant>>>,
     task: JoinHandle<()>,
@@ -74,6 +77,8 @@
         let shared_outbound = outbound.clone();
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let recorded = runs.clone();
+        let refused: Arc<AtomicUsize> = Arc::default();
+        let refusals = refused.clone();
         let silenced_at: Arc<Mutex<Option<Instant>>> = Arc::default();
         let silence_time = silenced_at.clone();
         let name = Arc::new(Mutex::new(name.to_owned()));
@@ -88,9 +93,10 @@
                 let (name, recorded, silence_time) =
                     (shared_name.clone(), recorded.clone(), silence_time.clone());
                 let (crash, outbound) = (crash.clone(), shared_outbound.clone());
+                let refusals = refusals.clone();
                 let opened = Instant::now();
                 served.spawn(async move {
-                    let serving = serve(stream, name, recorded, crash, outbound);
+                    let serving = serve(stream, name, recorded, refusals, crash, outbound);
                     tokio::pin!(serving);
                     tokio::select! {
                         () = &mut serving => return,
@@ -105,6 +111,7 @@
             address,
             name,
             runs,
+            refused,
             outbound,
             silenced_at,
             task,
@@ -136,6 +143,11 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Returns the number of requests that were refused because the target is full.
+    pub(crate) fn refused(&self) -> usize {
+        self.refused.load(Ordering::SeqCst)
+    }
+
     /// Returns how often the request with this id was started.
     pub(crate) fn count(&self, id: &str) -> usize {
         let runs = self.runs.lock().unwrap();
@@ -162,6 +174,7 @@
     mut stream: TcpStream,
     name: Arc<Mutex<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
+    refusals: Arc<AtomicUsize>,
     crash: Arc<Notify>,
     outbound: Arc<Mutex<Option<SocketAddr>>>,
 ) {
@@ -183,6 +196,7 @@
             continue;
         }
         if head.path().contains("/full") {
+            refusals.fetch_add(1, Ordering::SeqCst);
             let text = format!(
                 "HTTP/1.1 503 Full\r\n{echoed}{}: 1\r\nContent-Length: 0\r\n\r\n",
                 HEADER_NAMES.not_run
