Add a command that shows where a request would go now, and why, without sending it

Operators had only logs of requests that were sent. dragonflylead preview asks a node at its metrics address; the answer names the route, the organisation and its quota, every reason for a refusal, and the targets with how often each would be chosen. The choice is made by the code that requests use, which is a function of its own for that.

Result: a_preview_shows_where_a_request_would_go_and_why passes against two real nodes, whose targets got no request.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,8 @@
 use crate::policy::describe::explain;
 use crate::policy::diff::diff;
 use crate::policy::value::format_duration;
+use crate::preview_command::PreviewArgs;
+use crate::preview_command::run_preview;
 use crate::story;
 
 /// Overload control for service call graphs.
@@ -65,6 +67,8 @@
     },
     /// Demonstrate a load surge and the recovery from it, with nodes on loopback in this process
     Demo,
+    /// Show where a running node would send a request now, and why, without sending it
+    Preview(PreviewArgs),
     /// Show a summary of the state of running nodes
     Status(StatusArgs),
     /// Show how fast error budgets burn, and whether an operator has to act
@@ -119,6 +123,7 @@
             path,
         } => run_explain(file, [method, service, path], out, err),
         Command::Diff { old, new } => run_diff(old, new, out, err),
+        Command::Preview(args) => run_preview(args, out, err),
         Command::Status(args) => run_status(args, out),
         Command::Report(args) => run_report(args, out),
         Command::Measure(args) => run_measure(args, out).map(|()| Exit::Success),
--- a/src/coordination/organisations/stock.rs
+++ b/src/coordination/organisations/stock.rs
@@ -205,6 +205,13 @@
         }
     }
 
+    /// Returns the number of tokens of an organisation that may be used now.
+    pub fn tokens(&mut self, name: &OrganisationName, now: Time) -> u32 {
+        self.stocks
+            .get_mut(name)
+            .map_or(0, |stock| stock.tokens(now))
+    }
+
     /// Returns the requests per second of each organisation, as this node sees them.
     pub fn demands(&self, now: Time) -> Vec<(&OrganisationName, f64)> {
         let demand = |stock: &Stock| {
--- a/src/coordination/root_admission.rs
+++ b/src/coordination/root_admission.rs
@@ -78,6 +78,12 @@
         self.routes.get(&key).map_or(1.0, |demand| demand.share)
     }
 
+    /// Returns the share of the root requests of a route that is admitted at a priority.
+    pub fn share(&self, route: &Arc<str>, priority: u8) -> f64 {
+        let demand = self.routes.get(&(route.clone(), priority));
+        demand.map_or(1.0, |demand| demand.share)
+    }
+
     /// Decides whether to admit a root request of a route with this share, and remembers it if not.
     /// `random` is uniformly distributed in 0..1.
     pub fn admit(&mut self, request: Fingerprint, share: f64, random: f64, now: Time) -> bool {
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -149,6 +149,8 @@
     pub in_flight: u32,
     /// Last reported load, decayed with its age; 1 if all slots were taken.
     pub load: f64,
+    /// Expected time of a request: as reported by the node beside it, or else as this node observed.
+    pub expected: Option<Duration>,
     /// Whether the instance is ejected.
     pub ejected: bool,
     /// Whether the instance is draining.
@@ -331,6 +333,7 @@
             distance: t.distance,
             in_flight: t.score.in_flight(),
             load: t.score.load(now),
+            expected: t.score.expected_time(now),
             ejected: t.health.is_ejected(),
             draining: t.is_draining(now),
         })
--- a/src/coordination/score.rs
+++ b/src/coordination/score.rs
@@ -152,6 +152,12 @@
         self.run_time = Some((time.as_micros() as f64, now));
     }
 
+    /// Returns the expected time of a request, if there was any report or response.
+    pub fn expected_time(&self, now: Time) -> Option<Duration> {
+        let time = self.reported_run_time(now).or(self.latency_us)?;
+        Some(Duration::from_micros(time as u64))
+    }
+
     /// Returns the last reported time of a run in microseconds, while it is recent.
     fn reported_run_time(&self, now: Time) -> Option<f64> {
         let (time, at) = self.run_time?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod node;
 pub mod operator_commands;
 pub mod policy;
+pub mod preview_command;
 pub mod protocol;
 pub mod relay;
 pub mod report;
--- a/src/relay/call/dispatch.rs
+++ b/src/relay/call/dispatch.rs
@@ -18,10 +18,12 @@
 use crate::error::UnknownKind;
 use crate::http1::Header;
 use crate::instance::InstanceName;
+use crate::instance::ServiceName;
 use crate::protocol::frame;
 use crate::protocol::frame::RunOutcome;
 use crate::protocol::frame::RunRequest;
 use crate::relay::CoordinationState;
+use crate::relay::Relay;
 use crate::relay::attempt::AttemptGuard;
 use crate::relay::call::Call;
 use crate::relay::identity;
@@ -154,40 +156,13 @@
                 .take(&self.service, now)
     }
 
-    /// Chooses the instance of the next attempt: the local target if it can be used, otherwise an
-    /// instance of the local region, or of any region if there is none or it is overloaded.
     fn choose(&self, tried: &[InstanceName]) -> Choice {
-        if let Some(pick) = self.pick_local_target(tried) {
-            return Choice::Send(pick);
-        }
-        let now = self.relay.now();
-        let mut coordination = self.relay.coordination();
-        let CoordinationState { router, rng, .. } = &mut *coordination;
-        let same_region = PickArgs {
+        let wanted = Wanted {
             service: &self.service,
             priority: self.queue_priority(),
             idempotent: self.route.idempotent,
-            cross_region: false,
-            tried,
-            untried_only: true,
         };
-        let near_choice = router.choose(&same_region, now, rng);
-        let overloaded = |pick: &Pick| router.is_overloaded(pick, OVERLOADED_LOAD, now);
-        if matches!(&near_choice, Choice::Send(pick) if !overloaded(pick)) {
-            return near_choice;
-        }
-        let all_regions = PickArgs {
-            cross_region: true,
-            ..same_region
-        };
-        let far_choice = router.choose(&all_regions, now, rng);
-        match (&near_choice, &far_choice) {
-            (Choice::Unavailable(_), _) => far_choice,
-            (_, Choice::Send(pick)) if !router.is_overloaded(pick, OVERLOADED_LOAD, now) => {
-                far_choice
-            }
-            _ => near_choice,
-        }
+        choose(self.relay, &wanted, tried)
     }
 
     /// Returns the priority in admission queues. A sub-call is critical, because its root was
@@ -199,20 +174,6 @@
         }
     }
 
-    /// Returns the local target if it serves the request, was not tried and is not busy.
-    fn pick_local_target(&self, tried: &[InstanceName]) -> Option<Pick> {
-        let local = self.relay.local_target()?;
-        let serves_request =
-            local.instance.service == self.service && !tried.contains(&local.instance.name);
-        let has_room = self.relay.admission_queue().load_percent() < LOCAL_BUSY_PERCENT;
-        let available = self.relay.check_target(&local.instance.name).is_ok();
-        (serves_request && has_room && available).then_some(Pick {
-            instance: local.instance,
-            distance: Distance::Domain,
-            link_charge: None,
-        })
-    }
-
     async fn attempt(&self, pick: &Pick, repetition: Repetition) -> Reply {
         let now = self.relay.now();
         self.relay
@@ -269,3 +230,66 @@
         }
     }
 }
+
+/// What the choice of an instance depends on.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::relay) struct Wanted<'a> {
+    /// Service that is to run the request.
+    pub(in crate::relay) service: &'a ServiceName,
+    /// Priority in admission queues.
+    pub(in crate::relay) priority: Priority,
+    /// Whether the request may run more than once.
+    pub(in crate::relay) idempotent: bool,
+}
+
+/// Chooses the instance of an attempt: the local target if it can be used, otherwise an instance of
+/// the local region, or of any region if there is none or it is overloaded.
+pub(in crate::relay) fn choose(
+    relay: &Relay,
+    wanted: &Wanted<'_>,
+    tried: &[InstanceName],
+) -> Choice {
+    if let Some(pick) = pick_local_target(relay, wanted.service, tried) {
+        return Choice::Send(pick);
+    }
+    let now = relay.now();
+    let mut coordination = relay.coordination();
+    let CoordinationState { router, rng, .. } = &mut *coordination;
+    let same_region = PickArgs {
+        service: wanted.service,
+        priority: wanted.priority,
+        idempotent: wanted.idempotent,
+        cross_region: false,
+        tried,
+        untried_only: true,
+    };
+    let near_choice = router.choose(&same_region, now, rng);
+    let overloaded = |pick: &Pick| router.is_overloaded(pick, OVERLOADED_LOAD, now);
+    if matches!(&near_choice, Choice::Send(pick) if !overloaded(pick)) {
+        return near_choice;
+    }
+    let all_regions = PickArgs {
+        cross_region: true,
+        ..same_region
+    };
+    let far_choice = router.choose(&all_regions, now, rng);
+    match (&near_choice, &far_choice) {
+        (Choice::Unavailable(_), _) => far_choice,
+        (_, Choice::Send(pick)) if !router.is_overloaded(pick, OVERLOADED_LOAD, now) => far_choice,
+        _ => near_choice,
+    }
+}
+
+/// Returns the local target if it serves the request, was not tried and is not busy.
+fn pick_local_target(relay: &Relay, service: &ServiceName, tried: &[InstanceName]) -> Option<Pick> {
+    let local = relay.local_target()?;
+    let serves_request =
+        local.instance.service == *service && !tried.contains(&local.instance.name);
+    let has_room = relay.admission_queue().load_percent() < LOCAL_BUSY_PERCENT;
+    let available = relay.check_target(&local.instance.name).is_ok();
+    (serves_request && has_room && available).then_some(Pick {
+        instance: local.instance,
+        distance: Distance::Domain,
+        link_charge: None,
+    })
+}
--- a/src/relay/call/mod.rs
+++ b/src/relay/call/mod.rs
@@ -2,7 +2,7 @@
 //! it is admitted.
 
 mod answer;
-mod dispatch;
+pub(super) mod dispatch;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
--- a/src/relay/lifecycle.rs
+++ b/src/relay/lifecycle.rs
@@ -21,7 +21,9 @@
 use crate::relay::caller_server;
 use crate::relay::caller_table;
 use crate::relay::pages;
+use crate::relay::pages::DynamicPage;
 use crate::relay::peer_server;
+use crate::relay::preview;
 use crate::relay::reader_sync;
 use crate::relay::socket;
 use crate::relay::store_sync;
@@ -54,16 +56,21 @@
         let outbound = socket::listen(cfg.outbound)?;
         let peers = socket::listen(cfg.peers)?;
         let page_relay = relay.clone();
-        let ready = pages::serve(cfg.ready, &cfg.ready_path, move || {
-            match page_relay.is_ready() {
-                true => (Status::Ok, "ready\n".to_owned()),
-                false => (Status::ServiceUnavailable, "not ready\n".to_owned()),
-            }
+        let readiness = DynamicPage::new(move |_| match page_relay.is_ready() {
+            true => (Status::Ok, "ready\n".to_owned()),
+            false => (Status::ServiceUnavailable, "not ready\n".to_owned()),
         });
+        let ready = pages::serve(cfg.ready, vec![(&cfg.ready_path, readiness)]);
         let page_relay = relay.clone();
-        let metrics = pages::serve(cfg.metrics, pages::METRICS_PATH, move || {
-            (Status::Ok, page_relay.metrics().text(&page_relay))
-        });
+        let metrics =
+            DynamicPage::new(move |_| (Status::Ok, page_relay.metrics().text(&page_relay)));
+        let page_relay = relay.clone();
+        let preview = DynamicPage::new(move |query| preview::page(&page_relay, query));
+        let operator_pages = vec![
+            (pages::METRICS_PATH, metrics),
+            (pages::PREVIEW_PATH, preview),
+        ];
+        let metrics = pages::serve(cfg.metrics, operator_pages);
         let ready = ready.await?;
         let metrics = metrics.await?;
         let peers = Arc::new(peers);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -31,6 +31,7 @@
 mod peer_connection;
 pub mod peer_server;
 mod peer_writer;
+pub mod preview;
 mod quota;
 pub mod reader_sync;
 mod repeated_run;
--- a/src/relay/quota.rs
+++ b/src/relay/quota.rs
@@ -213,13 +213,19 @@
     }
 
     /// Returns the addresses of the holder of an organisation's quota and of the next node.
-    fn rank_holders(&self, name: &OrganisationName) -> Vec<SocketAddr> {
+    pub(super) fn rank_holders(&self, name: &OrganisationName) -> Vec<SocketAddr> {
         let view = self.view();
         let live = view.targets.iter().map(|target| &target.instance);
         let live = live.filter(|instance| instance.state == InstanceState::Live);
         holder::rank(name, live.map(|instance| instance.peer), holder::node_key)
     }
 
+    /// Returns the number of tokens that this node has of an organisation's quota.
+    pub(super) fn quota_tokens(&self, name: &OrganisationName) -> u32 {
+        let now = self.now();
+        self.stocks().tokens(name, now)
+    }
+
     /// Returns the number of quotas that this node holds.
     pub fn held_quotas(&self) -> usize {
         self.holder().len()
--- a/tests/relays/organisations.rs
+++ b/tests/relays/organisations.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use clap::Parser;
+use dragonflylead::cli;
+use dragonflylead::cli::Cli;
+use dragonflylead::cli::Exit;
 use dragonflylead::coordination::organisations::ApiKeyHash;
 use dragonflylead::coordination::organisations::Directory;
 use dragonflylead::coordination::organisations::Organisation;
@@ -222,3 +226,77 @@
         .sum();
     assert_eq!(held, 1);
 }
+
+async fn preview(fleet: &RelayFleet, args: &[&str]) -> (Exit, String) {
+    let node = fleet.members[0].node.relay().cfg().metrics.to_string();
+    let command = ["dragonflylead", "preview", &node];
+    let cli = Cli::parse_from(command.iter().chain(args).copied());
+    let run = tokio::task::spawn_blocking(move || {
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let exit = cli::run(&cli, &mut out, &mut err).unwrap();
+        out.extend(err);
+        (exit, String::from_utf8(out).unwrap())
+    });
+    run.await.unwrap()
+}
+
+/// The command asks a running node, which sends nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_preview_shows_where_a_request_would_go_and_why() {
+    struct Case {
+        args: &'static [&'static str],
+        exit: Exit,
+        parts: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            args: &["h.example", "/b/x", "--organisation", "org"],
+            exit: Exit::Success,
+            parts: &[
+                "configuration 2, ",
+                "route b (/b/): may run again, priority 2, timeout 4000 ms, objective 1000 ms",
+                "organisation org: 3 a second, 0 tokens here, held by 127.0.95.",
+                "service b, 100 in 100 of the requests",
+                "b-1     domain     100 %  0.00          0",
+            ],
+        },
+        Case {
+            args: &["h.example", "/a-once/x", "--organisation", "org"],
+            exit: Exit::Success,
+            parts: &["runs once at most", "a-0     local      100 %"],
+        },
+        Case {
+            args: &["h.example", "/b/x"],
+            exit: Exit::Failure,
+            parts: &["refused with 401: the route needs the key of an organisation"],
+        },
+        Case {
+            args: &["h.example", "/none/"],
+            exit: Exit::Failure,
+            parts: &["refused with 404: no route matches"],
+        },
+        Case {
+            args: &["h.example", "/b/x", "--json", "--organisation", "org"],
+            exit: Exit::Success,
+            parts: &["\"admitted_share\": 1.0", "\"unavailable\": null"],
+        },
+    ];
+    let fleet = start(95).await;
+    let quota = Quota {
+        rate: 3.0,
+        burst: 3.0,
+    };
+    publish(&fleet, keyed_table(2, &["k1"], Some(quota))).await;
+    for case in cases {
+        let (exit, text) = preview(&fleet, case.args).await;
+        assert_eq!(exit, case.exit, "{text}");
+        for part in case.parts {
+            assert!(text.contains(part), "{part}\nis missing in\n{text}");
+        }
+    }
+    let sent = fleet
+        .members
+        .iter()
+        .map(|member| member.target.runs().len());
+    assert_eq!(sent.sum::<usize>(), 0);
+}
