Give up another node that takes no replies, whose bodies would stay in memory

A connection on the port for other nodes that asks for long responses, gives credit for them and reads none pinned the memory for large messages for as long as it stayed open.

--- a/src/relay/peer_writer.rs
+++ b/src/relay/peer_writer.rs
@@ -1,9 +1,12 @@
 //! Writes messages and bodies to a node that opened a connection to this one.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::memory::Body;
 use crate::protocol::frame;
@@ -13,6 +16,10 @@
 /// Bytes that are collected before a write.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
 
+/// Time that a write may take before the other node counts as gone. It is longer than nodes are
+/// paused; until then the bodies for it stay in memory.
+const STALLED_AFTER: Duration = Duration::from_secs(15);
+
 /// What is written to another node.
 #[derive(Debug)]
 pub(super) enum ToPeer {
@@ -43,9 +50,16 @@
             append(&mut out, &mut bodies, next);
         }
         bodies.append_next(&mut out);
-        if let Err(e) = wr.write_all(&out).await {
-            log::debug!("cannot write replies to another node: {e}");
-            return;
+        match timeout(STALLED_AFTER, wr.write_all(&out)).await {
+            Ok(Ok(())) => (),
+            Ok(Err(e)) => {
+                log::debug!("cannot write replies to another node: {e}");
+                return;
+            }
+            Err(_) => {
+                log::warn!("another node does not read its replies, they are dropped");
+                return;
+            }
         }
         out.clear();
     }
