--- a/src/coordination/organisations/stock.rs
+++ b/src/coordination/organisations/stock.rs
@@ -212,16 +212,6 @@
             .map_or(0, |stock| stock.tokens(now))
     }
 
-    /// Returns the requests per second of each organisation, as this node sees them.
-    pub fn demands(&self, now: Time) -> Vec<(&OrganisationName, f64)> {
-        let demand = |stock: &Stock| {
-            let passed = now.since(stock.seen_at).as_secs_f64() / DEMAND_TIME.as_secs_f64();
-            stock.demand * (-passed).exp()
-        };
-        let stocks = self.stocks.iter();
-        stocks.map(|(name, stock)| (name, demand(stock))).collect()
-    }
-
     /// Keeps only the given organisations.
     pub fn retain<F>(&mut self, keep: F)
     where
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,9 +1,11 @@
 //! The request path of a node between callers, nodes and a target that speak plain HTTP/1.1.
 //!
-//! A request is read from a caller ([`caller_server`]), routed to an instance ([`call`]), forwarded
-//! to the node beside that instance ([`peer_client`], [`peer_server`]) and run at the target there
-//! ([`run`], [`target_client`]). The node learns about the fleet from the platform's store
-//! ([`store_sync`]) or from the nodes of its failure domain that read it ([`reader_sync`]).
+//! A request is read from a caller ([`caller_server`]), which may be closed if it holds too much
+//! (`caller_table`). Its sender is identified (`identity`) and its quota checked (`quota`). It is
+//! routed to an instance ([`call`]), forwarded to the node beside that instance ([`peer_client`],
+//! [`peer_server`]) and run at the target there ([`run`], [`target_client`]). The node learns about
+//! the fleet from the platform's store ([`store_sync`]) or from the nodes of its failure domain that
+//! read it ([`reader_sync`]).
 //!
 //! Locks are not nested, except that the view is read under the locks of the store health and of
 //! the misdirected target. No lock is held across an `await`.
--- a/src/relay/quota.rs
+++ b/src/relay/quota.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
 use crate::coordination::organisations::directory::Quota;
 use crate::coordination::organisations::holder;
@@ -68,7 +69,7 @@
     ///
     /// # Errors
     ///
-    /// If the quota is used up, or the holder cannot be reached and neither the floor share has room.
+    /// If the quota is used up, or the holder cannot be reached and the floor share is used up.
     pub(super) async fn take_quota(
         self: &Arc<Relay>,
         name: &OrganisationName,
@@ -78,20 +79,7 @@
         let mut admission = self.stocks().arrive(name, floor, self.now());
         self.ask_if_needed(name, admission == Admission::Wait);
         if admission == Admission::Wait {
-            let _waiting = WaitGuard { relay: self, name };
-            let until = tokio::time::Instant::now() + MAX_WAIT;
-            while admission == Admission::Wait {
-                let answered = self.quotas.answered.notified();
-                tokio::pin!(answered);
-                answered.as_mut().enable();
-                admission = self.stocks().decide(name, floor, self.now());
-                if admission == Admission::Wait {
-                    if tokio::time::timeout_at(until, answered).await.is_err() {
-                        admission = Admission::Unreachable;
-                    }
-                    self.ask_if_needed(name, false);
-                }
-            }
+            admission = self.wait_for_tokens(name, floor).await;
         }
         match admission {
             Admission::Admitted => Ok(()),
@@ -106,6 +94,31 @@
         }
     }
 
+    /// Waits until the holder has answered, for at most [`MAX_WAIT`]. The request is already counted as
+    /// waiting.
+    async fn wait_for_tokens(
+        self: &Arc<Relay>,
+        name: &OrganisationName,
+        floor: Floor,
+    ) -> Admission {
+        let _waiting = WaitGuard { relay: self, name };
+        let until = tokio::time::Instant::now() + MAX_WAIT;
+        loop {
+            let answered = self.quotas.answered.notified();
+            tokio::pin!(answered);
+            // An answer between the decision and the wait must not be missed.
+            answered.as_mut().enable();
+            let admission = self.stocks().decide(name, floor, self.now());
+            if admission != Admission::Wait {
+                return admission;
+            }
+            if timeout_at(until, answered).await.is_err() {
+                return Admission::Unreachable;
+            }
+            self.ask_if_needed(name, false);
+        }
+    }
+
     /// Asks the holder for tokens if there are too few. `waits` counts a request that begins to wait.
     fn ask_if_needed(self: &Arc<Relay>, name: &OrganisationName, waits: bool) {
         let now = self.now();
