--- a/src/coordination/organisations/directory.rs
+++ b/src/coordination/organisations/directory.rs
@@ -55,6 +55,7 @@
 /// The organisations of a configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Directory {
+    /// Sorted by name.
     organisations: Vec<Arc<Organisation>>,
     /// Indexes into `organisations`.
     #[serde(skip)]
@@ -91,8 +92,10 @@
                 }
             }
         }
+        let mut sorted = organisations;
+        sorted.sort_by(|a, b| a.name.cmp(&b.name));
         let directory = Directory {
-            organisations: organisations.into_iter().map(Arc::new).collect(),
+            organisations: sorted.into_iter().map(Arc::new).collect(),
             by_key: HashMap::new(),
         };
         Ok(directory.with_index())
@@ -114,7 +117,8 @@
 
     /// Returns the organisation with a name.
     pub fn named(&self, name: &OrganisationName) -> Option<&Arc<Organisation>> {
-        self.organisations.iter().find(|o| o.name == *name)
+        let at = self.organisations.binary_search_by(|o| o.name.cmp(name));
+        self.organisations.get(at.ok()?)
     }
 
     /// Iterates over the organisations.
--- a/src/coordination/organisations/quota.rs
+++ b/src/coordination/organisations/quota.rs
@@ -61,7 +61,7 @@
     /// Returns the rate at which the holder gives out tokens, per second. Those that are used in one
     /// window were given out in a span that is longer by [`TOKEN_TTL`].
     pub fn token_rate(&self, quota: &Quota) -> f64 {
-        let spent_in = self.window + TOKEN_TTL;
+        let spent_in = self.window.saturating_add(TOKEN_TTL);
         let tokens = self.allowed(quota) - self.reserve(quota) - self.token_burst(quota);
         (tokens / spent_in.as_secs_f64()).max(0.0)
     }
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -127,7 +127,8 @@
 }
 
 impl TargetClient {
-    /// Builds a client with an empty pool for at most `max_idle` connections, which reserves the bodies of responses from `memory`.
+    /// Builds a client with an empty pool for at most `max_idle` connections, which reserves the bodies
+    /// of responses from `memory`.
     pub fn new(header_names: HeaderNames, memory: MemoryBudget, max_idle: usize) -> TargetClient {
         TargetClient {
             header_names,
