Log how a configuration came into force, and that another node applies a newer one

The logs could not tell a node that has no news from one that has them and cannot get the configuration. A node now logs the source of each configuration, for how long it had known of it, each newer version of another node with that node, and a watch that ended without a change although the store has changed. The metric newest_configuration beside configuration shows a node that is behind. The address of the other node is kept with its version; nothing is decided by it yet.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -82,7 +82,8 @@
             ..Observation::new(outcome, now.since(self.started_at))
         };
         if let Some(load) = reply.load {
-            self.relay.handle_peer_version(load.config_version);
+            self.relay
+                .handle_peer_version(load.config_version, self.pick.instance.peer);
             self.relay.record_reported_proof(&load, self.asked);
         }
         let mut coordination = self.relay.coordination();
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -224,6 +224,10 @@
             ("memory_waits", relay.memory().waits() as i64),
             ("targets", view.targets.len() as i64),
             ("configuration", version as i64),
+            (
+                "newest_configuration",
+                relay.missing_version().map_or(version, |seen| seen.version) as i64,
+            ),
             ("ready", i64::from(relay.is_ready())),
             ("held_quotas", relay.held_quotas() as i64),
             (
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod call;
 pub mod caller_server;
 mod caller_table;
+pub mod config_source;
 pub mod descriptors;
 mod freshness;
 pub mod header_names;
@@ -32,6 +33,7 @@
 pub mod peer_client;
 mod peer_connection;
 pub mod peer_server;
+pub mod peer_versions;
 mod peer_writer;
 pub mod preview;
 mod quota;
@@ -93,6 +95,7 @@
 use crate::relay::header_names::HeaderNames;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::peer_client::PeerClient;
+use crate::relay::peer_versions::SeenVersion;
 use crate::relay::store_sync::StoreHealth;
 use crate::relay::store_sync::StoreReader;
 use crate::relay::store_view::StoreView;
@@ -202,6 +205,7 @@
     /// When the node began to stop.
     stopping_since: OnceLock<Time>,
     newer_version_seen: Notify,
+    seen_version: Mutex<Option<SeenVersion>>,
     /// Notified when the view or the health of the store changes.
     view_changed: Notify,
     /// Time of the last reply of a reader, while this node follows one.
@@ -284,6 +288,7 @@
             phase: watch::Sender::new(Phase::Serving),
             stopping_since: OnceLock::new(),
             newer_version_seen: Notify::new(),
+            seen_version: Mutex::default(),
             view_changed: Notify::new(),
             synced_at: Mutex::default(),
             incarnation,
--- a/src/relay/peer_server.rs
+++ b/src/relay/peer_server.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -96,6 +97,7 @@
     receive_hello(&mut frames).await?;
     frames.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
     relay.record_connected_peer(from);
+    let peer = SocketAddr::new(from, relay.cfg().peers.port());
     let (tx, rx) = mpsc::channel(MAX_QUEUED_FRAMES);
     let writer = tokio::spawn(peer_writer::write(wr, rx));
     let running = RunningRequests::default();
@@ -107,7 +109,7 @@
         };
         match frame::decode(&bytes) {
             Ok(frame) => {
-                if let Err(e) = handle_frame(&relay, frame, &tx, &running).await {
+                if let Err(e) = handle_frame(&relay, peer, frame, &tx, &running).await {
                     break Err(e);
                 }
             }
@@ -141,12 +143,16 @@
 
 async fn handle_frame(
     relay: &Arc<Relay>,
+    peer: SocketAddr,
     frame: Frame,
     tx: &mpsc::Sender<ToPeer>,
     running: &RunningRequests,
 ) -> io::Result<()> {
     match frame {
-        Frame::Run(req) => start_run(relay, req, tx, running),
+        Frame::Run(req) => {
+            relay.handle_peer_version(req.config_version, peer);
+            start_run(relay, req, tx, running);
+        }
         Frame::Data { number, bytes } => {
             if let Some(RunningRequest {
                 body: Some(body), ..
@@ -166,7 +172,7 @@
             let sent = tx.send(ToPeer::Drop(number)).await;
             sent.map_err(|_| io::ErrorKind::BrokenPipe)?;
         }
-        Frame::ConfigVersion(version) => relay.handle_peer_version(version),
+        Frame::ConfigVersion(version) => relay.handle_peer_version(version, peer),
         Frame::Ping => send(tx, Frame::Pong).await?,
         Frame::Crash(report) => relay.record_crash_report(&report),
         Frame::Read { number, query } => spawn_store_read(relay, number, query, tx),
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -20,6 +20,7 @@
 use crate::protocol::sync::SyncReply;
 use crate::protocol::sync::TargetList;
 use crate::relay::Relay;
+use crate::relay::config_source::ConfigSource;
 use crate::relay::freshness::millis;
 
 /// Number of nodes of a failure domain that read the store. A second one serves the followers
@@ -155,7 +156,7 @@
     fn apply_sync(&self, reply: SyncReply, now: Time) {
         if let Some(table) = reply.routes {
             let revision = reply.list.as_ref().map_or(0, |list| list.revision);
-            self.apply_routes(table.with_index(), revision);
+            self.apply_routes(table.with_index(), revision, ConfigSource::Reader);
         }
         let view = self.view();
         match reply.list {
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -48,7 +48,6 @@
     streamed: Option<IncomingBody>,
     arrived: Time,
 ) -> RunOutcome {
-    relay.handle_peer_version(req.config_version);
     if let Some(name) = relay.replacement_of(&req.target, &req.service) {
         req.target = name;
     }
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -19,6 +19,7 @@
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
 use crate::relay::Relay;
+use crate::relay::config_source::ConfigSource;
 use crate::relay::freshness::millis;
 
 /// Longest wait for a change in one call, before jitter.
@@ -280,7 +281,7 @@
         // A full read returns the newest version. Starting it again would only delay it.
         let is_watch = query.is_watch();
         let result = tokio::select! {
-            result = read(&relay, query) => result,
+            result = read(&relay, query.clone()) => result,
             () = wait_for_missed_version(&relay), if is_watch => {
                 revision = None;
                 continue;
@@ -288,11 +289,13 @@
         };
         match result {
             Ok(result) => {
+                log_quiet_watch(&query, &result);
                 revision = Some(result.revision);
                 let mut proved = relay.config_version();
                 if let Content::Routes(Some(table)) = result.content {
                     proved = table.version;
-                    relay.apply_routes(table.with_index(), result.revision);
+                    let source = ConfigSource::of_result(&query, result.revision);
+                    relay.apply_routes(table.with_index(), result.revision, source);
                 }
                 if let Some(age_ms) = result.age_ms {
                     let age = Duration::from_millis(u64::from(age_ms));
@@ -314,6 +317,19 @@
     }
 }
 
+/// Logs a watch of the configuration that ended without a change although the store has changed.
+fn log_quiet_watch(query: &Query, result: &QueryResult) {
+    if let Query::WatchRoutes { revision, .. } = query
+        && result.content == Content::Routes(None)
+        && result.revision != *revision
+    {
+        log::info!(
+            after = *revision, revision = result.revision;
+            "watch of the configuration ended without a change, the store has changed"
+        );
+    }
+}
+
 /// Returns the wait of the next watch of the configuration. It grows with the number of nodes that
 /// watch, the readers, and is jittered, so that the nodes do not call in step.
 fn routes_watch_time(relay: &Relay) -> Duration {
--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -13,6 +13,7 @@
 use crate::protocol::store_query::TargetEntry;
 use crate::protocol::sync::TargetList;
 use crate::relay::Relay;
+use crate::relay::config_source::ConfigSource;
 use crate::relay::store_view::StoreView;
 
 /// Time after a recovery of the store during which a missing entry does not mean that a target
@@ -21,8 +22,8 @@
 
 impl Relay {
     /// Puts a configuration into force, unless its version is not above the current one. `revision`
-    /// is that of the store, for the log.
-    pub fn apply_routes(&self, table: RouteTable, revision: u64) {
+    /// is that of the store and `source` where the configuration came from, both for the log.
+    pub fn apply_routes(&self, table: RouteTable, revision: u64, source: ConfigSource) {
         let mut view = self.write_view();
         let current = view.routes.as_ref().map_or(0, |t| t.version);
         let newer = view.routes.is_none() || table.version > current;
@@ -40,8 +41,8 @@
         };
         self.view_changed.notify_waiters();
         log::info!(
-            version = table.version, before = current, revision = revision,
-            routes = table.routes().count();
+            version = table.version, before = current, revision = revision, source:% = source,
+            known_ms = self.known_for_ms(table.version), routes = table.routes().count();
             "configuration in force"
         );
         self.peer_client
@@ -75,19 +76,6 @@
         self.view().routes.as_ref().map_or(0, |table| table.version)
     }
 
-    /// Handles the configuration version of another node. A newer one wakes
-    /// [`Relay::wait_for_newer_version`].
-    pub fn handle_peer_version(&self, version: u64) {
-        if version > self.config_version() {
-            self.newer_version_seen.notify_one();
-        }
-    }
-
-    /// Waits until another node reports a newer configuration.
-    pub async fn wait_for_newer_version(&self) {
-        self.newer_version_seen.notified().await;
-    }
-
     /// Returns whether the store failed recently, so that entries may be missing from it although
     /// their targets live.
     pub fn is_store_unstable(&self, now: Time) -> bool {
--- a/tests/relays/store_calls.rs
+++ b/tests/relays/store_calls.rs
@@ -91,9 +91,10 @@
     fleet.store.slow_reads(Duration::from_millis(700));
     fleet.store.publish(table(2, &["a", "b"]));
     let relay = fleet.members[0].node.relay();
+    let other = fleet.members[1].node.relay().cfg().peers;
     let reported = async {
         loop {
-            relay.handle_peer_version(2);
+            relay.handle_peer_version(2, other);
             sleep(Duration::from_millis(20)).await;
         }
     };
