--- a/tests/relays/organisations.rs
+++ b/tests/relays/organisations.rs
@@ -165,6 +165,18 @@
     );
 }
 
+/// Guards against a withdrawn key that is accepted because a watch delivered nothing.
+#[tokio::test]
+async fn a_watch_that_skips_a_withdrawal_proves_nothing() {
+    let fleet = start(142).await;
+    publish(&fleet, keyed_table(2, &["k1"], None)).await;
+    fleet.store.silence_watches();
+    fleet.store.publish(keyed_table(3, &["k2"], None));
+    tokio::time::sleep(REVOCATION_BOUND).await;
+    let late = status(&fleet, "late", "Authorization: Bearer k1\r\n").await;
+    assert!([401, 503].contains(&late), "{late}");
+}
+
 /// Guards against nodes that the store turns away and that refuse all keys although another node
 /// could prove the configuration to them.
 #[tokio::test]
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -27,6 +27,7 @@
 use dragonflylead::relay::RelayConfig;
 use dragonflylead::relay::descriptors::Descriptors;
 use dragonflylead::relay::lifecycle::RunningRelay;
+use dragonflylead::relay::store_sync::CALL_TIMEOUT_MARGIN;
 use dragonflylead::relay::store_sync::StoreError;
 use dragonflylead::relay::store_sync::StoreReader;
 use tokio::io::AsyncReadExt;
@@ -46,6 +47,7 @@
     table: Option<RouteTable>,
     targets: Vec<TargetEntry>,
     refused_nodes: Vec<String>,
+    unanswered_nodes: Vec<String>,
     silent_watches: bool,
     slow_reads: Option<Duration>,
     breaks: u32,
@@ -79,6 +81,15 @@
         self.0.lock().unwrap().refused_nodes.push(node.to_owned());
     }
 
+    /// Leaves the calls of a node without an answer from now on.
+    pub(crate) fn ignore_node(&self, node: &str) {
+        self.0
+            .lock()
+            .unwrap()
+            .unanswered_nodes
+            .push(node.to_owned());
+    }
+
     /// Makes watches deliver no change from now on.
     pub(crate) fn silence_watches(&self) {
         self.0.lock().unwrap().silent_watches = true;
@@ -127,6 +138,10 @@
             *state.calls.entry(node.to_owned()).or_default() += 1;
             state.breaks
         };
+        if self.ignores(node) {
+            tokio::time::sleep_until(until + CALL_TIMEOUT_MARGIN).await;
+            return Err(StoreError::TimedOut);
+        }
         let slow = self.0.lock().unwrap().slow_reads;
         if let (Query::Routes, Some(time)) = (&query, slow) {
             tokio::time::sleep(time).await;
@@ -154,6 +169,11 @@
         }
     }
 
+    fn ignores(&self, node: &str) -> bool {
+        let state = self.0.lock().unwrap();
+        state.unanswered_nodes.iter().any(|ignored| ignored == node)
+    }
+
     /// Returns the result of a query, or nothing while it waits for a change.
     fn query(&self, node: &str, query: &Query) -> Option<Result<QueryResult, StoreError>> {
         let state = self.0.lock().unwrap();
