Count the reads of the store for other nodes at each node

The count was a static of the process. A read that was dropped with its runtime never gave its place back, and all nodes of one process shared the 16 places: with a store that leaves calls without an answer, view::a_node_refused_by_the_store_reads_through_other_nodes and view::a_node_that_starts_while_the_store_is_down_learns_from_nodes_that_reconnect waited 20 s in vain in one run of all relay tests (alone they passed). The node now has a semaphore, whose permits return when a read is dropped.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -62,6 +62,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -95,6 +96,7 @@
 use crate::relay::header_names::HeaderNames;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::peer_client::PeerClient;
+use crate::relay::peer_server::MAX_STORE_READS;
 use crate::relay::peer_versions::SeenVersion;
 use crate::relay::store_sync::StoreHealth;
 use crate::relay::store_sync::StoreReader;
@@ -185,6 +187,8 @@
     quotas: quota::Quotas,
     store: StoreReader,
     store_health: Mutex<StoreHealth>,
+    /// Permits for reads of the store for other nodes.
+    store_reads: Semaphore,
     view: RwLock<Arc<StoreView>>,
     local_target_changed: Notify,
     coordination: Mutex<CoordinationState>,
@@ -271,6 +275,7 @@
             header_names,
             store,
             store_health: Mutex::default(),
+            store_reads: Semaphore::new(MAX_STORE_READS),
             view: RwLock::default(),
             local_target_changed: Notify::new(),
             coordination: Mutex::new(coordination),
--- a/src/relay/peer_server.rs
+++ b/src/relay/peer_server.rs
@@ -6,8 +6,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -45,10 +43,7 @@
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
 /// Limit on the concurrent reads of the store for other nodes.
-const MAX_STORE_READS: usize = 16;
-
-/// Number of reads of the store for other nodes that are in progress.
-static STORE_READS: AtomicUsize = AtomicUsize::new(0);
+pub(super) const MAX_STORE_READS: usize = 16;
 
 /// Time that a new connection has to identify itself as one of a node.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -268,12 +263,10 @@
     let relay = relay.clone();
     let tx = tx.clone();
     tokio::spawn(async move {
-        let overloaded = STORE_READS.fetch_add(1, Ordering::Relaxed) >= MAX_STORE_READS;
-        let result = match overloaded {
-            true => None,
-            false => relay.read_store_for_peer(query).await,
+        let result = match relay.store_reads.try_acquire() {
+            Ok(_permit) => relay.read_store_for_peer(query).await,
+            Err(_) => None,
         };
-        STORE_READS.fetch_sub(1, Ordering::Relaxed);
         if send(&tx, Frame::ReadReply { number, result })
             .await
             .is_err()
