Prove the newest configuration by reads, not by the silence of a watch

Callers: a change that no watch delivered was never in force (versions [1, 1, 1, 1] 3 s after version 2), and a key that it took away was accepted for good. Cause: a watch that ended without events moved the node on to the store's revision and proved the configuration in force, whatever that was, up to the end of its wait. The users' store may keep watches silent for a second while changes are made. In the same way a configuration that could not be decoded, and events on other keys, counted as no change. Change: ConfigPosition keeps the revision up to which the configuration is known with the newest version at it. A quiet watch proves that version only if the store is still at that revision, and otherwise the configuration is read. An invalid configuration is an error of its own, which is an answer of the store but proves nothing.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod caller_eviction;
 pub mod concurrency_limit;
 pub mod config;
+pub mod config_position;
 pub mod control;
 pub mod crash_detector;
 pub mod dispatch;
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -42,15 +42,15 @@
             "store read"
         );
         self.metrics.record_store_call(result.is_ok());
-        let worked = matches!(result, Ok(_) | Err(StoreError::Compacted));
+        let worked = result.as_ref().err().is_none_or(StoreError::is_answer);
         let jitter = self.coordination().rng.random_range(0.0..1.0);
         let changed = self.store_health().record(worked, jitter, self.now());
         if changed {
             self.view_changed.notify_waiters();
         }
         match &result {
-            Ok(_) | Err(StoreError::Compacted) if changed => log::info!("store has recovered"),
-            Err(e) if changed => log::warn!(error:% = e; "store is failing"),
+            Err(e) if changed && !worked => log::warn!(error:% = e; "store is failing"),
+            _ if changed => log::info!("store has recovered"),
             _ => (),
         }
         result
@@ -61,7 +61,7 @@
     pub async fn read_store_for_peer(&self, query: Query) -> Option<QueryResult> {
         match self.read_store(query.clone()).await {
             Ok(result) => Some(result),
-            Err(StoreError::Compacted) => None,
+            Err(e) if e.is_answer() => None,
             Err(_) => {
                 let age_ms = self.config_age().map(millis);
                 let cached = self.view().answer(&query);
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Time;
+use crate::coordination::config_position::ConfigPosition;
 use crate::instance::InstanceName;
 use crate::protocol::store_query::CACHED_REVISION;
 use crate::protocol::store_query::Content;
@@ -93,11 +94,25 @@
     /// The response could not be decoded.
     #[error("malformed response: {0}")]
     Malformed(String),
+    /// The store answered, but its configuration is invalid, so that it proves nothing about the one
+    /// in force.
+    #[error("invalid configuration: {0}")]
+    InvalidConfiguration(String),
     /// The store failed a call and the pause before the next one is not over.
     #[error("not called, backing off after a failed call")]
     BackingOff,
 }
 
+impl StoreError {
+    /// Returns whether the store has answered, so that another node would get the same answer.
+    pub fn is_answer(&self) -> bool {
+        matches!(
+            self,
+            StoreError::Compacted | StoreError::InvalidConfiguration(_)
+        )
+    }
+}
+
 /// Future of a query result.
 pub type QueryFuture = Pin<Box<dyn Future<Output = Result<QueryResult, StoreError>> + Send>>;
 
@@ -229,7 +244,8 @@
         }
     };
     match result {
-        Ok(_) | Err(StoreError::Compacted) => result,
+        Ok(_) => result,
+        Err(e) if e.is_answer() => Err(e),
         Err(e) if !failing && may_call && query.is_watch() => Err(e),
         Err(e) => read_through_peers(relay, &query).await.ok_or(e),
     }
@@ -254,14 +270,14 @@
 
 /// Keeps the configuration up to date, as long as no reader does. Never returns.
 pub async fn follow_routes(relay: Arc<Relay>) {
-    let mut revision = None;
+    let mut position = ConfigPosition::default();
     let mut backoff = Backoff::new();
     let mut starting = true;
     loop {
         if relay.has_routes() && starting && !relay.is_reader() {
             relay.wait_for_reader(READER_WAIT).await;
             // A change during the wait must not depend on the first watch.
-            revision = None;
+            position.reset();
         }
         starting &= !relay.has_routes();
         if relay.has_routes() && relay.is_following() {
@@ -269,9 +285,9 @@
                 () = relay.wait_while_following() => (),
                 () = wait_for_missed_version(&relay) => (),
             }
-            revision = None;
+            position.reset();
         }
-        let query = match revision {
+        let query = match position.watch_after() {
             None => Query::Routes,
             Some(revision) => Query::WatchRoutes {
                 revision,
@@ -283,33 +299,22 @@
         let result = tokio::select! {
             result = read(&relay, query.clone()) => result,
             () = wait_for_missed_version(&relay), if is_watch => {
-                revision = None;
+                position.reset();
                 continue;
             }
         };
         match result {
+            Ok(result) if result.revision == CACHED_REVISION => {
+                handle_routes(&relay, &query, result, &mut position);
+                position.reset();
+                backoff.wait().await;
+            }
             Ok(result) => {
-                log_quiet_watch(&query, &result);
-                revision = Some(result.revision);
-                let mut proved = relay.config_version();
-                if let Content::Routes(Some(table)) = result.content {
-                    proved = table.version;
-                    let source = ConfigSource::of_result(&query, result.revision);
-                    relay.apply_routes(table.with_index(), result.revision, source);
-                }
-                if let Some(age_ms) = result.age_ms {
-                    let age = Duration::from_millis(u64::from(age_ms));
-                    relay.record_proof(proved, relay.boot_now(), age);
-                }
-                if result.revision != CACHED_REVISION {
-                    backoff = Backoff::new();
-                } else {
-                    revision = None;
-                    backoff.wait().await;
-                }
+                handle_routes(&relay, &query, result, &mut position);
+                backoff = Backoff::new();
             }
             Err(e) => {
-                revision = None;
+                position.reset();
                 log::info!(dependency = "store", what = "configuration", error:% = e; "could not read from the store");
                 backoff.wait().await;
             }
@@ -317,17 +322,30 @@
     }
 }
 
-/// Logs a watch of the configuration that ended without a change although the store has changed.
-fn log_quiet_watch(query: &Query, result: &QueryResult) {
-    if let Query::WatchRoutes { revision, .. } = query
-        && result.content == Content::Routes(None)
-        && result.revision != *revision
-    {
+/// Applies the result of a query for the configuration, and records what it proves.
+fn handle_routes(relay: &Relay, query: &Query, result: QueryResult, position: &mut ConfigPosition) {
+    let Content::Routes(table) = result.content else {
+        return;
+    };
+    let version = table.as_ref().map(|table| table.version);
+    if let Some(table) = table {
+        let source = ConfigSource::of_result(query, result.revision);
+        relay.apply_routes(table.with_index(), result.revision, source);
+    }
+    let proved = match query.is_watch() {
+        true => position.record_watch(version, result.revision),
+        false => position.record_read(version, result.revision),
+    };
+    if position.watch_after().is_none() {
         log::info!(
-            after = *revision, revision = result.revision;
+            query:? = query, revision = result.revision;
             "watch of the configuration ended without a change, the store has changed"
         );
     }
+    if let (Some(version), Some(age_ms)) = (proved, result.age_ms) {
+        let age = Duration::from_millis(u64::from(age_ms));
+        relay.record_proof(version, relay.boot_now(), age);
+    }
 }
 
 /// Returns the wait of the next watch of the configuration. It grows with the number of nodes that
