Get a configuration from the node that applies it

Cause: a reply that showed a newer version only started a read of the store, or of two random nodes if the store does not answer. Those may be turned away as well, a failed round ends with a pause of up to 1 s, and a version seen during a read or a pause was forgotten. A reader that the store turns away kept even a configuration that it had to itself. Change: a task of its own remembers the newest version with the node that reported it last, and asks that node for the configuration if it is not delivered within 0.3 s, while the store is read as before. A reader passes its configuration and proof on even if it cannot supply a node.

--- a/src/protocol/sync.rs
+++ b/src/protocol/sync.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SyncReply {
     /// Whether the replying node reads the store itself and has read it within the last seconds. If
-    /// not, the asking node must read the store on its own.
+    /// not, the asking node must read the store on its own, but may use the configuration.
     pub fresh: bool,
     /// Version of the configuration that the replying node applies.
     pub config_version: u64,
--- a/src/relay/lifecycle.rs
+++ b/src/relay/lifecycle.rs
@@ -23,6 +23,7 @@
 use crate::relay::pages;
 use crate::relay::pages::DynamicPage;
 use crate::relay::peer_server;
+use crate::relay::peer_versions;
 use crate::relay::preview;
 use crate::relay::reader_sync;
 use crate::relay::socket;
@@ -80,6 +81,7 @@
                 peer_server::accept(relay, peers.clone())
             }),
             background::spawn(&relay, "routes", store_sync::follow_routes),
+            background::spawn(&relay, "versions", peer_versions::follow_peer_versions),
             background::spawn(&relay, "targets", store_sync::follow_targets),
             background::spawn(&relay, "local-target", store_sync::follow_local_target),
             background::spawn(&relay, "memory", caller_table::relieve_memory),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -209,6 +209,8 @@
     /// When the node began to stop.
     stopping_since: OnceLock<Time>,
     newer_version_seen: Notify,
+    /// Notified when a version that another node applies was not delivered in time.
+    version_missed: Notify,
     seen_version: Mutex<Option<SeenVersion>>,
     /// Notified when the view or the health of the store changes.
     view_changed: Notify,
@@ -293,6 +295,7 @@
             phase: watch::Sender::new(Phase::Serving),
             stopping_since: OnceLock::new(),
             newer_version_seen: Notify::new(),
+            version_missed: Notify::new(),
             seen_version: Mutex::default(),
             view_changed: Notify::new(),
             synced_at: Mutex::default(),
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -30,8 +30,8 @@
 /// Time that a reader waits for news before it replies that there are none.
 const SYNC_WAIT: Duration = Duration::from_millis(500);
 
-/// Time that a follower waits for a reply beyond [`SYNC_WAIT`].
-const REPLY_MARGIN: Duration = Duration::from_millis(400);
+/// Time that a node waits for a reply: [`SYNC_WAIT`] and a margin.
+pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Time after the last reply of a reader during which a follower does not read the store itself.
 const SYNC_TTL: Duration = Duration::from_millis(1_200);
@@ -131,16 +131,14 @@
         let store_unstable = self.is_store_unstable(now);
         let store_failing = self.store_health().is_failing();
         let list_is_recent = view.has_list() && now.since(view.listed_at) < MAX_LIST_AGE;
-        if self.is_following() || store_failing || !list_is_recent {
-            return SyncReply::default();
-        }
         let newer_routes = view
             .routes
             .as_ref()
             .filter(|table| table.version > known.config_version);
-        let newer_list = view.list_revision > known.list_revision;
+        let fresh = !self.is_following() && !store_failing && list_is_recent;
+        let newer_list = fresh && view.list_revision > known.list_revision;
         SyncReply {
-            fresh: true,
+            fresh,
             config_version: self.config_version(),
             config_age_ms: self.config_age().map(millis),
             routes: newer_routes.map(|table| table.as_ref().clone()),
@@ -152,12 +150,26 @@
         }
     }
 
-    /// Applies the reply of a reader.
-    fn apply_sync(&self, reply: SyncReply, now: Time) {
-        if let Some(table) = reply.routes {
+    /// Applies the configuration in the reply of another node, and what it proves. The node was asked
+    /// at `asked`, a time of the boot clock.
+    pub(super) fn apply_sync_config(
+        &self,
+        reply: &mut SyncReply,
+        asked: Time,
+        source: ConfigSource,
+    ) {
+        if let Some(table) = reply.routes.take() {
             let revision = reply.list.as_ref().map_or(0, |list| list.revision);
-            self.apply_routes(table.with_index(), revision, ConfigSource::Reader);
+            self.apply_routes(table.with_index(), revision, source);
+        }
+        if let Some(age_ms) = reply.config_age_ms {
+            let age = Duration::from_millis(u64::from(age_ms));
+            self.record_proof(reply.config_version, asked, age);
         }
+    }
+
+    /// Applies the list of targets in the reply of a reader, which supplies this node from now on.
+    fn apply_sync_list(&self, reply: SyncReply, now: Time) {
         let view = self.view();
         match reply.list {
             Some(list) if list.revision > view.list_revision => self.apply_list(list),
@@ -195,17 +207,15 @@
         };
         let known = relay.known_state();
         let asked = relay.boot_now();
-        let max_time = SYNC_WAIT + REPLY_MARGIN;
-        let reply = relay.peer_client().sync(address, known, max_time).await;
+        let mut reply = relay
+            .peer_client()
+            .sync(address, known, REPLY_TIMEOUT)
+            .await;
+        if let Some(reply) = &mut reply {
+            relay.apply_sync_config(reply, asked, ConfigSource::Reader);
+        }
         match reply.filter(|reply| reply.fresh) {
-            Some(reply) => {
-                let proof = (reply.config_version, reply.config_age_ms);
-                relay.apply_sync(reply, relay.now());
-                if let (version, Some(age_ms)) = proof {
-                    let age = Duration::from_millis(u64::from(age_ms));
-                    relay.record_proof(version, asked, age);
-                }
-            }
+            Some(reply) => relay.apply_sync_list(reply, relay.now()),
             None => {
                 if !relay.is_following() {
                     relay.stop_following();
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -37,9 +37,6 @@
 /// Time between two reads of an entry that may be missing only because of a store failure.
 const RECHECK_PERIOD: Duration = Duration::from_millis(300);
 
-/// Time that a watch has to deliver a change that another node already reported.
-const PEER_VERSION_DELAY: Duration = Duration::from_millis(300);
-
 /// Time that the store may take to begin its answer, beyond the wait of the query.
 pub const CALL_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -283,7 +280,7 @@
         if relay.has_routes() && relay.is_following() {
             tokio::select! {
                 () = relay.wait_while_following() => (),
-                () = wait_for_missed_version(&relay) => (),
+                () = relay.wait_for_missed_version() => (),
             }
             position.reset();
         }
@@ -298,7 +295,7 @@
         let is_watch = query.is_watch();
         let result = tokio::select! {
             result = read(&relay, query.clone()) => result,
-            () = wait_for_missed_version(&relay), if is_watch => {
+            () = relay.wait_for_missed_version(), if is_watch => {
                 position.reset();
                 continue;
             }
@@ -362,19 +359,6 @@
     MAX_WATCH.mul_f64(relay.coordination().rng.random_range(0.5..=1.0))
 }
 
-/// Waits until another node has reported a newer configuration and the watch of this node has not
-/// delivered one within [`PEER_VERSION_DELAY`].
-async fn wait_for_missed_version(relay: &Relay) {
-    loop {
-        relay.wait_for_newer_version().await;
-        let known = relay.config_version();
-        tokio::time::sleep(PEER_VERSION_DELAY).await;
-        if relay.config_version() == known {
-            return;
-        }
-    }
-}
-
 /// Keeps the list of targets up to date, as long as no reader does. Never returns.
 pub async fn follow_targets(relay: Arc<Relay>) {
     let mut backoff = Backoff::new();
