Take the version and the age of a proof, and a sender and its keys, from one configuration

On a runtime with several threads the age of a newer version could go with the number of an older one, and a key could be passed on.

--- a/src/relay/call/mod.rs
+++ b/src/relay/call/mod.rs
@@ -26,6 +26,7 @@
 use crate::relay::CoordinationState;
 use crate::relay::Relay;
 use crate::relay::identity;
+use crate::relay::identity::Sender;
 use crate::relay::response::CallerResponse;
 
 /// A request with its route, service and deadline.
@@ -78,8 +79,8 @@
         );
         return CallerResponse::from_node(404, "no route");
     };
-    let organisation = match identity::identify(relay, &table, route, &request.head) {
-        Ok(organisation) => organisation,
+    let sender = match identity::identify(relay, &table, route, &request.head) {
+        Ok(sender) => sender,
         Err(e) => {
             log::info!(
                 request:% = id, route:% = route.name, version = table.version,
@@ -89,15 +90,7 @@
             return answer::reject(relay, route, e, caller_timeout.unwrap_or(route.timeout));
         }
     };
-    let call = build_call(
-        relay,
-        route,
-        request,
-        id,
-        organisation,
-        caller_timeout,
-        arrived,
-    );
+    let call = build_call(relay, route, request, id, sender, caller_timeout, arrived);
     let Some(call) = call else {
         return CallerResponse::from_node(503, "route without service");
     };
@@ -113,10 +106,14 @@
     route: &'a Arc<Route>,
     request: &'a Request,
     id: &'a str,
-    organisation: Option<Arc<Organisation>>,
+    sender: Sender,
     caller_timeout: Option<Duration>,
     arrived: Time,
 ) -> Option<Call<'a>> {
+    let Sender {
+        organisation,
+        has_keys,
+    } = sender;
     let service = relay.coordination().split.next(route)?;
     // Targets have no keys.
     let is_root =
@@ -139,11 +136,7 @@
         inherits_repetition,
         arrived,
         deadline: arrived.plus(remaining),
-        has_keys: relay
-            .view()
-            .routes
-            .as_ref()
-            .is_some_and(|t| t.directory.is_some()),
+        has_keys,
         possibly_running: AtomicBool::new(false),
     })
 }
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -12,6 +12,31 @@
 use crate::protocol::store_query::QueryResult;
 use crate::relay::Relay;
 
+/// What a node states about the configuration that it applies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigStatement {
+    /// Its version, or 0 if there is none.
+    pub version: u64,
+    /// Time since that version was known to be the newest one, if that is known.
+    pub age: Option<Duration>,
+}
+
+impl ConfigStatement {
+    /// Returns the age in milliseconds, rounded up.
+    pub(super) fn age_ms(&self) -> Option<u32> {
+        self.age.map(millis)
+    }
+
+    /// Returns the age in the unit of load reports, rounded up.
+    pub(super) fn reported_age(&self) -> u16 {
+        let units = self.age.map(|age| {
+            let units = age.as_millis() / CONFIG_AGE_UNIT.as_millis() + 1;
+            u16::try_from(units).unwrap_or(u16::MAX)
+        });
+        units.unwrap_or(u16::MAX)
+    }
+}
+
 impl Relay {
     /// Returns the current time of a clock that also counts the time for which the machine is
     /// suspended.
@@ -26,6 +51,16 @@
         self.freshness().age(now)
     }
 
+    /// Returns the version of the configuration in force, or 0 if there is none, together with its age.
+    pub fn config_statement(&self) -> ConfigStatement {
+        // While the view is locked, no newer version can be put into force and proved.
+        let view = self.view.read().unwrap_or_else(|p| p.into_inner());
+        ConfigStatement {
+            version: view.routes.as_ref().map_or(0, |table| table.version),
+            age: self.config_age(),
+        }
+    }
+
     /// Returns whether keys may be accepted according to the configuration in force.
     pub fn may_accept_keys(&self) -> bool {
         let bound = self.cfg().revocation_bound;
@@ -50,15 +85,6 @@
         }
     }
 
-    /// Returns the age of the configuration in the unit of load reports, rounded up.
-    pub(super) fn reported_config_age(&self) -> u16 {
-        let units = self.config_age().map(|age| {
-            let units = age.as_millis() / CONFIG_AGE_UNIT.as_millis() + 1;
-            u16::try_from(units).unwrap_or(u16::MAX)
-        });
-        units.unwrap_or(u16::MAX)
-    }
-
     /// Returns the time in milliseconds since the result of a read of the store was the newest
     /// state, if the read was sent at `asked`. The store answers a watch without a change only once
     /// its wait is over.
--- a/src/relay/identity.rs
+++ b/src/relay/identity.rs
@@ -28,7 +28,16 @@
     Stale,
 }
 
-/// Returns the organisation that sent a request, or nothing if its route needs no key.
+/// Who sent a request, according to one configuration.
+pub(super) struct Sender {
+    /// Organisation that holds the key, if the request has one.
+    pub(super) organisation: Option<Arc<Organisation>>,
+    /// Whether the configuration has organisations, so that keys are not passed on.
+    pub(super) has_keys: bool,
+}
+
+/// Returns who sent a request. Without organisations, or on a route that needs no key, that may be
+/// nobody.
 ///
 /// # Errors
 ///
@@ -38,21 +47,28 @@
     table: &RouteTable,
     route: &Route,
     head: &RequestHead,
-) -> Result<Option<Arc<Organisation>>, IdentityError> {
+) -> Result<Sender, IdentityError> {
     let Some(directory) = &table.directory else {
-        return Ok(None);
+        return Ok(Sender {
+            organisation: None,
+            has_keys: false,
+        });
+    };
+    let sent_by = |organisation: Option<&Arc<Organisation>>| Sender {
+        organisation: organisation.cloned(),
+        has_keys: true,
     };
     let keys = head.headers.iter().filter(|(name, _)| is_key(name));
     let key = ApiKeyHash::of_headers(keys.map(|(_, value)| value.as_slice()));
     let holder = key.and_then(|key| directory.find(&key));
     if route.public {
-        return Ok(holder.cloned());
+        return Ok(sent_by(holder));
     }
     if !relay.may_accept_keys() {
         return Err(IdentityError::Stale);
     }
     match holder {
-        Some(holder) => Ok(Some(holder.clone())),
+        Some(holder) => Ok(sent_by(Some(holder))),
         None if relay
             .config_age()
             .is_some_and(|age| age < MAX_REJECTING_AGE) =>
--- a/src/relay/load_report.rs
+++ b/src/relay/load_report.rs
@@ -63,14 +63,15 @@
                 .is_root(route, service, view.services)
         });
         let (ratio, cost_ms) = self.lowest_ratio(route);
+        let config = self.config_statement();
         LoadReport {
             percent: self.admission_queue.load_percent(),
             admission_ratio: ratio.to_byte(),
             cost_ms: cost_ms as u16,
             is_root,
             run_ms: self.expected_run_ms(),
-            config_version: self.config_version(),
-            config_age: self.reported_config_age(),
+            config_version: config.version,
+            config_age: config.reported_age(),
         }
     }
 }
--- a/src/relay/preview.rs
+++ b/src/relay/preview.rs
@@ -135,11 +135,12 @@
     path: &str,
     organisation: Option<&OrganisationName>,
 ) -> Preview {
+    let config = relay.config_statement();
     let table = relay.view().routes.clone();
     let mut preview = Preview {
         node: relay.cfg().name.to_string(),
-        config_version: relay.config_version(),
-        config_age_ms: relay.config_age().map(millis),
+        config_version: config.version,
+        config_age_ms: config.age.map(millis),
         refused: Vec::new(),
         route: None,
         organisation: None,
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -21,7 +21,6 @@
 use crate::protocol::sync::TargetList;
 use crate::relay::Relay;
 use crate::relay::config_source::ConfigSource;
-use crate::relay::freshness::millis;
 
 /// Number of nodes of a failure domain that read the store. A second one serves the followers
 /// without a pause when the first fails.
@@ -127,6 +126,7 @@
 
     fn sync_reply(&self, known: KnownState) -> SyncReply {
         let now = self.now();
+        let config = self.config_statement();
         let view = self.view();
         let store_unstable = self.is_store_unstable(now);
         let store_failing = self.store_health().is_failing();
@@ -139,8 +139,8 @@
         let newer_list = fresh && view.list_revision > known.list_revision;
         SyncReply {
             fresh,
-            config_version: self.config_version(),
-            config_age_ms: self.config_age().map(millis),
+            config_version: config.version,
+            config_age_ms: config.age_ms(),
             routes: newer_routes.map(|table| table.as_ref().clone()),
             list: newer_list.then(|| TargetList {
                 targets: view.listed_targets(),
