--- a/src/relay/view_update.rs
+++ b/src/relay/view_update.rs
@@ -82,8 +82,14 @@
         self.store_health().is_unstable(STORE_SETTLE_TIME, now)
     }
 
-    /// Merges a list of targets that this node has read at `revision` of the store.
+    /// Merges a list of targets that this node has read at `revision` of the store. Reads of the list
+    /// may be out of date: one that is older than the list in use only has that one evaluated again.
     pub fn apply_targets(&self, targets: Vec<TargetEntry>, revision: u64) {
+        let view = self.view();
+        let (targets, revision) = match revision < view.list_revision {
+            true => (view.listed_targets(), view.list_revision),
+            false => (targets, revision),
+        };
         self.apply_list(TargetList {
             targets,
             revision,
--- a/tests/relays/view.rs
+++ b/tests/relays/view.rs
@@ -77,6 +77,26 @@
     );
 }
 
+/// Guards against targets that come back because a read of the list was out of date.
+#[tokio::test]
+async fn an_older_list_of_targets_is_never_applied() {
+    let fleet = RelayFleet::start(144, &["a", "b"]).await;
+    let old = fleet.store.list();
+    fleet
+        .store
+        .change(|targets| targets.retain(|target| target.instance.name.as_str() == "a-0"));
+    fleet
+        .wait_until(|fleet| fleet.members[0].node.relay().view().targets.len() == 1)
+        .await;
+    fleet.store.serve_old_list(old);
+    let relay = fleet.members[0].node.relay();
+    let listed_at = relay.view().listed_at;
+    fleet
+        .wait_until(|_| relay.view().listed_at > listed_at)
+        .await;
+    assert_eq!(relay.view().targets.len(), 1, "a removed target is back");
+}
+
 #[tokio::test]
 async fn a_node_that_starts_while_the_store_is_down_learns_from_nodes_that_reconnect() {
     let mut fleet = RelayFleet::start(16, &["a", "b"]).await;
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -49,6 +49,7 @@
     refused_nodes: Vec<String>,
     unanswered_nodes: Vec<String>,
     silent_watches: bool,
+    old_list: Option<(u64, Vec<TargetEntry>)>,
     slow_reads: Option<Duration>,
     breaks: u32,
     calls: HashMap<String, u32>,
@@ -95,6 +96,17 @@
         self.0.lock().unwrap().silent_watches = true;
     }
 
+    /// Returns the list of targets and its revision.
+    pub(crate) fn list(&self) -> (u64, Vec<TargetEntry>) {
+        let state = self.0.lock().unwrap();
+        (state.revision, state.targets.clone())
+    }
+
+    /// Answers reads of the list with an earlier one from now on.
+    pub(crate) fn serve_old_list(&self, list: (u64, Vec<TargetEntry>)) {
+        self.0.lock().unwrap().old_list = Some(list);
+    }
+
     /// Makes reads of the configuration take `time` from now on.
     pub(crate) fn slow_reads(&self, time: Duration) {
         self.0.lock().unwrap().slow_reads = Some(time);
@@ -183,6 +195,13 @@
         if state.silent_watches && !query.max_wait().is_zero() {
             return None;
         }
+        if let (Query::Targets, Some((revision, targets))) = (query, &state.old_list) {
+            return Some(Ok(QueryResult {
+                revision: *revision,
+                content: Content::Targets(targets.clone()),
+                age_ms: None,
+            }));
+        }
         let target_change = |name: &InstanceName| {
             let found = state.targets.iter().find(|t| t.instance.name == *name);
             found.map_or(TargetChange::Removed, |t| {
