--- a/src/coordination/config_position.rs
+++ b/src/coordination/config_position.rs
@@ -4,6 +4,33 @@
 //! It proves that nothing changed only if the store is still at the revision at which the watch
 //! began. Otherwise the configuration has to be read.
 
+use std::time::Duration;
+
+/// Longest wait for a change in one call, before jitter.
+pub const MAX_WATCH: Duration = Duration::from_secs(20);
+
+/// Shortest wait for a change of the configuration in one call, before jitter.
+const MIN_WATCH: Duration = Duration::from_secs(2);
+
+/// Average time between two watch calls by any nodes of the fleet. A watch may stop delivering
+/// without an error; then the node that calls next learns of the change, and the others learn of it
+/// from that node.
+const FLEET_WATCH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Share of the bound of a revocation that a watch of the configuration may take. The rest is for the
+/// read after it and for the way of the proof to the other nodes.
+const PROOF_SHARE: f64 = 0.4;
+
+/// Returns the longest wait for a change of the configuration in one call, before jitter, if
+/// `readers` nodes of the fleet watch it. A watch proves the configuration only at its end, which must
+/// be well within `revocation_bound`, after which keys are refused without a newer proof.
+pub fn max_watch(readers: usize, revocation_bound: Option<Duration>) -> Duration {
+    let readers = u32::try_from(readers).unwrap_or(u32::MAX);
+    let max_time = FLEET_WATCH_PERIOD.saturating_mul(readers);
+    let max_time = max_time.clamp(MIN_WATCH, MAX_WATCH);
+    revocation_bound.map_or(max_time, |bound| max_time.min(bound.mul_f64(PROOF_SHARE)))
+}
+
 /// Up to which revision of the store a node knows the configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfigPosition(Option<Known>);
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -13,7 +13,9 @@
 use tokio::time::timeout;
 
 use crate::clock::Time;
+use crate::coordination::config_position;
 use crate::coordination::config_position::ConfigPosition;
+use crate::coordination::config_position::MAX_WATCH;
 use crate::instance::InstanceName;
 use crate::protocol::store_query::CACHED_REVISION;
 use crate::protocol::store_query::Content;
@@ -23,17 +25,6 @@
 use crate::relay::config_source::ConfigSource;
 use crate::relay::freshness::millis;
 
-/// Longest wait for a change in one call, before jitter.
-const MAX_WATCH: Duration = Duration::from_secs(20);
-
-/// Shortest wait for a change of the configuration in one call, before jitter.
-const MIN_WATCH: Duration = Duration::from_secs(2);
-
-/// Average time between two watch calls by any nodes of the fleet. A watch may stop delivering
-/// without an error; then the node that calls next learns of the change, and the others learn of it
-/// from that node.
-const FLEET_WATCH_PERIOD: Duration = Duration::from_millis(250);
-
 /// Time between two reads of an entry that may be missing only because of a store failure.
 const RECHECK_PERIOD: Duration = Duration::from_millis(300);
 
@@ -345,12 +336,11 @@
     }
 }
 
-/// Returns the wait of the next watch of the configuration. It grows with the number of nodes that
-/// watch, the readers, and is jittered, so that the nodes do not call in step.
+/// Returns the wait of the next watch of the configuration, jittered so that the nodes do not call
+/// in step.
 fn routes_watch_time(relay: &Relay) -> Duration {
-    let readers = u32::try_from(relay.view().reader_count()).unwrap_or(u32::MAX);
-    let max_time = FLEET_WATCH_PERIOD.saturating_mul(readers);
-    let max_time = max_time.clamp(MIN_WATCH, MAX_WATCH);
+    let max_time =
+        config_position::max_watch(relay.view().reader_count(), relay.cfg().revocation_bound);
     max_time.mul_f64(relay.coordination().rng.random_range(0.5..=1.0))
 }
 
--- a/tests/config_position.rs
+++ b/tests/config_position.rs
@@ -1,5 +1,8 @@
 //! What reads and watches prove about the newest configuration.
 
+use std::time::Duration;
+
+use dragonflylead::coordination::config_position;
 use dragonflylead::coordination::config_position::ConfigPosition;
 
 /// Result of a query: the version that it returned, and the revision of the store.
@@ -58,3 +61,20 @@
         assert_eq!(position.watch_after(), case.watch_after, "{}", case.name);
     }
 }
+
+/// Guards against proofs that are too old for keys by the time the next one comes, in large fleets.
+#[test]
+fn watches_end_well_before_keys_are_refused() {
+    let seconds = Duration::from_secs;
+    for (readers, bound, longest) in [
+        (8, None, seconds(2)),
+        (40, None, seconds(10)),
+        (2_000, None, seconds(20)),
+        (8, Some(seconds(5)), seconds(2)),
+        (40, Some(seconds(5)), seconds(2)),
+        (2, Some(seconds(3)), Duration::from_millis(1_200)),
+    ] {
+        let watch = config_position::max_watch(readers, bound);
+        assert_eq!(watch, longest, "{readers} readers, bound {bound:?}");
+    }
+}
