--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,7 @@
 use crate::preview_command::PreviewArgs;
 use crate::preview_command::run_preview;
 use crate::story;
+use crate::version_spread;
 
 /// Overload control for service call graphs.
 #[derive(Debug, Parser)]
@@ -65,6 +66,12 @@
         /// Request id, as the caller sent it
         id: String,
     },
+    /// Show how long nodes went without each configuration, from their log lines, read from standard input
+    Versions {
+        /// Longest time in milliseconds from the first node to the last one
+        #[arg(long, default_value_t = 3_000)]
+        limit_ms: u64,
+    },
     /// Demonstrate a load surge and the recovery from it, with nodes on loopback in this process
     Demo,
     /// Show where a running node would send a request now, and why, without sending it
@@ -128,10 +135,23 @@
         Command::Report(args) => run_report(args, out),
         Command::Measure(args) => run_measure(args, out).map(|()| Exit::Success),
         Command::Story { id } => run_story(id, &io::read_to_string(io::stdin())?, out, err),
+        Command::Versions { limit_ms } => {
+            run_versions(&io::read_to_string(io::stdin())?, *limit_ms, out)
+        }
         Command::Demo => run_demo(out),
     }
 }
 
+fn run_versions<O>(text: &str, limit_ms: u64, out: &mut O) -> io::Result<Exit>
+where
+    O: Write,
+{
+    let spreads = version_spread::spreads(text.lines());
+    write!(out, "{}", version_spread::table(&spreads))?;
+    let in_time = spreads.iter().all(|spread| spread.spread_ms <= limit_ms);
+    Ok(Exit::success_if(in_time))
+}
+
 fn run_story<O, E>(id: &str, text: &str, out: &mut O, err: &mut E) -> io::Result<Exit>
 where
     O: Write,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod text_table;
 pub mod timer;
 pub mod transport;
+pub mod version_spread;
 pub mod waiters;
 
 pub use call::CallContext;
