Notice the departure of the local target that a watch has skipped

A departure in a second in which the store kept watches silent was then left to the list, which may be out of date for seconds.

--- a/src/coordination/config_position.rs
+++ b/src/coordination/watch_position.rs
@@ -1,8 +1,9 @@
-//! What a node's reads and watches of the published configuration prove about the newest version.
+//! What a node's reads and watches of the platform's store prove about the newest state of an item:
+//! the configuration, or the entry of the local target.
 //!
 //! A watch that ends without a change is no proof by itself: the store may not have delivered one.
 //! It proves that nothing changed only if the store is still at the revision at which the watch
-//! began. Otherwise the configuration has to be read.
+//! began. Otherwise the item has to be read.
 
 use std::time::Duration;
 
@@ -24,50 +25,60 @@
 /// Returns the longest wait for a change of the configuration in one call, before jitter, if
 /// `readers` nodes of the fleet watch it. A watch proves the configuration only at its end, which must
 /// be well within `revocation_bound`, after which keys are refused without a newer proof.
-pub fn max_watch(readers: usize, revocation_bound: Option<Duration>) -> Duration {
+pub fn max_config_watch(readers: usize, revocation_bound: Option<Duration>) -> Duration {
     let readers = u32::try_from(readers).unwrap_or(u32::MAX);
     let max_time = FLEET_WATCH_PERIOD.saturating_mul(readers);
     let max_time = max_time.clamp(MIN_WATCH, MAX_WATCH);
     revocation_bound.map_or(max_time, |bound| max_time.min(bound.mul_f64(PROOF_SHARE)))
 }
 
-/// Up to which revision of the store a node knows the configuration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ConfigPosition(Option<Known>);
+/// Up to which revision of the store a node knows an item. Its states are told apart by a `V`, such as
+/// the version of a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchPosition<V>(Option<Known<V>>);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Known {
+struct Known<V> {
     revision: u64,
-    /// Newest version at that revision, or nothing if there was none.
-    version: Option<u64>,
+    /// Newest state at that revision, or nothing if the item did not exist.
+    state: Option<V>,
+}
+
+impl<V> Default for WatchPosition<V> {
+    fn default() -> WatchPosition<V> {
+        WatchPosition(None)
+    }
 }
 
-impl ConfigPosition {
-    /// Returns the revision after which changes are to be watched, or nothing if the configuration
-    /// has to be read.
+impl<V> WatchPosition<V>
+where
+    V: Copy,
+{
+    /// Returns the revision after which changes are to be watched, or nothing if the item has to be
+    /// read.
     pub fn watch_after(&self) -> Option<u64> {
         self.0.map(|known| known.revision)
     }
 
-    /// Forgets the position, so that the configuration is read next.
+    /// Forgets the position, so that the item is read next.
     pub fn reset(&mut self) {
         self.0 = None;
     }
 
-    /// Records a read that returned `version`, or no configuration, at a revision of the store.
-    /// Returns the version that is proved to be the newest one.
-    pub fn record_read(&mut self, version: Option<u64>, revision: u64) -> Option<u64> {
-        self.0 = Some(Known { revision, version });
-        version
+    /// Records a read that returned `state`, or no item, at a revision of the store. Returns the
+    /// state that is proved to be the newest one.
+    pub fn record_read(&mut self, state: Option<V>, revision: u64) -> Option<V> {
+        self.0 = Some(Known { revision, state });
+        state
     }
 
-    /// Records the end of a watch that returned a change to `version`, or none, when the store was
-    /// at `revision`. Returns the version that is proved to be the newest one.
-    pub fn record_watch(&mut self, version: Option<u64>, revision: u64) -> Option<u64> {
-        if version.is_some() {
-            return self.record_read(version, revision);
+    /// Records the end of a watch that returned a change to `state`, or none, when the store was at
+    /// `revision`. Returns the state that is proved to be the newest one.
+    pub fn record_watch(&mut self, state: Option<V>, revision: u64) -> Option<V> {
+        if state.is_some() {
+            return self.record_read(state, revision);
         }
         self.0 = self.0.filter(|known| known.revision == revision);
-        self.0.and_then(|known| known.version)
+        self.0.and_then(|known| known.state)
     }
 }
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -13,14 +13,15 @@
 use tokio::time::timeout;
 
 use crate::clock::Time;
-use crate::coordination::config_position;
-use crate::coordination::config_position::ConfigPosition;
-use crate::coordination::config_position::MAX_WATCH;
+use crate::coordination::watch_position;
+use crate::coordination::watch_position::MAX_WATCH;
+use crate::coordination::watch_position::WatchPosition;
 use crate::instance::InstanceName;
 use crate::protocol::store_query::CACHED_REVISION;
 use crate::protocol::store_query::Content;
 use crate::protocol::store_query::Query;
 use crate::protocol::store_query::QueryResult;
+use crate::protocol::store_query::TargetChange;
 use crate::relay::Relay;
 use crate::relay::config_source::ConfigSource;
 use crate::relay::freshness::millis;
@@ -258,7 +259,7 @@
 
 /// Keeps the configuration up to date, as long as no reader does. Never returns.
 pub async fn follow_routes(relay: Arc<Relay>) {
-    let mut position = ConfigPosition::default();
+    let mut position = WatchPosition::default();
     let mut backoff = Backoff::new();
     let mut starting = true;
     loop {
@@ -311,7 +312,12 @@
 }
 
 /// Applies the result of a query for the configuration, and records what it proves.
-fn handle_routes(relay: &Relay, query: &Query, result: QueryResult, position: &mut ConfigPosition) {
+fn handle_routes(
+    relay: &Relay,
+    query: &Query,
+    result: QueryResult,
+    position: &mut WatchPosition<u64>,
+) {
     let Content::Routes(table) = result.content else {
         return;
     };
@@ -340,7 +346,7 @@
 /// in step.
 fn routes_watch_time(relay: &Relay) -> Duration {
     let max_time =
-        config_position::max_watch(relay.view().reader_count(), relay.cfg().revocation_bound);
+        watch_position::max_config_watch(relay.view().reader_count(), relay.cfg().revocation_bound);
     max_time.mul_f64(relay.coordination().rng.random_range(0.5..=1.0))
 }
 
@@ -391,50 +397,57 @@
 /// of the target that close the connection therefore trigger a read of the entry as well.
 pub async fn follow_local_target(relay: Arc<Relay>) {
     let mut backoff = Backoff::new();
-    let mut watched: Option<(InstanceName, u64)> = None;
+    let mut position = WatchPosition::default();
     let mut adopted: Option<InstanceName> = None;
     loop {
         let Some(local) = relay.local_target() else {
-            watched = None;
             relay.wait_for_local_target_change().await;
             continue;
         };
         let name = local.instance.name.clone();
-        let list_revision = relay.view().list_revision;
-        if adopted.as_ref() != Some(&name) && list_revision != CACHED_REVISION {
-            // The list has the state of the entry, so that only later changes are needed.
+        if adopted.as_ref() != Some(&name) {
             adopted = Some(name.clone());
-            watched = Some((name.clone(), list_revision));
+            position.reset();
+            let list_revision = relay.view().list_revision;
+            if list_revision != CACHED_REVISION {
+                // The list has the state of the entry, so that only later changes are needed.
+                position.record_read(Some(()), list_revision);
+            }
         }
-        let query = match &watched {
-            Some((known, revision)) if *known == name => Query::WatchTarget {
+        let query = match position.watch_after() {
+            None => Query::Target(name.clone()),
+            Some(revision) => Query::WatchTarget {
                 name: name.clone(),
-                revision: *revision,
+                revision,
                 wait_ms: local_entry_watch_time(&relay).as_millis() as u64,
             },
-            _ => Query::Target(name.clone()),
         };
+        let is_watch = query.is_watch();
         let result = tokio::select! {
             result = read(&relay, query) => result,
             () = relay.wait_for_local_target_change() => {
-                watched = None;
+                position.reset();
                 continue;
             }
         };
         match result {
             Ok(result) => {
                 backoff = Backoff::new();
-                watched = Some((name.clone(), result.revision));
                 let Content::Target(change) = result.content else {
                     continue;
                 };
+                let changed = (change != TargetChange::Unchanged).then_some(());
+                match is_watch {
+                    true => position.record_watch(changed, result.revision),
+                    false => position.record_read(changed, result.revision),
+                };
                 if !relay.apply_local_entry(&name, change, result.revision) {
-                    watched = None;
+                    position.reset();
                     tokio::time::sleep(RECHECK_PERIOD).await;
                 }
             }
             Err(e) => {
-                watched = None;
+                position.reset();
                 log::info!(dependency = "store", what = "own entry", error:% = e; "could not read from the store");
                 backoff.wait().await;
             }
--- a/tests/relays/store_calls.rs
+++ b/tests/relays/store_calls.rs
@@ -61,6 +61,27 @@
     }
 }
 
+/// Guards against a departure that is lost because a watch that did not deliver it moved on, while
+/// the list is out of date.
+#[tokio::test]
+async fn a_departure_that_a_watch_skips_is_noticed_when_the_watch_ends() {
+    const LONGEST_WATCH: Duration = Duration::from_secs(20);
+    let fleet = RelayFleet::start(145, &["a", "a"]).await;
+    fleet.store.silence_watches();
+    fleet.store.serve_old_list(fleet.store.list());
+    fleet
+        .store
+        .change(|targets| targets[0].instance.state = InstanceState::Draining);
+    let member = &fleet.members[0];
+    let noticed = async {
+        while member.node.relay().check_target(&member.name).is_ok() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let noticed = timeout(LONGEST_WATCH + DETECTION_LIMIT, noticed).await;
+    assert!(noticed.is_ok(), "a draining target is still used");
+}
+
 /// The store breaks all watches while the configuration changes, and later watches deliver nothing.
 #[tokio::test]
 async fn a_configuration_is_applied_although_watches_break_and_deliver_nothing() {
--- a/tests/config_position.rs
+++ b/tests/watch_position.rs
@@ -1,9 +1,9 @@
-//! What reads and watches prove about the newest configuration.
+//! What reads and watches prove about the newest state of an item.
 
 use std::time::Duration;
 
-use dragonflylead::coordination::config_position;
-use dragonflylead::coordination::config_position::ConfigPosition;
+use dragonflylead::coordination::watch_position;
+use dragonflylead::coordination::watch_position::WatchPosition;
 
 /// Result of a query: the version that it returned, and the revision of the store.
 struct Answer(Option<u64>, u64);
@@ -51,7 +51,7 @@
 fn a_watch_without_a_change_proves_nothing_once_the_store_has_changed() {
     for case in CASES {
         let Case { read, watch, .. } = case;
-        let mut position = ConfigPosition::default();
+        let mut position = WatchPosition::default();
         assert_eq!(position.watch_after(), None, "{}", case.name);
         let proved = position.record_read(read.0, read.1);
         assert_eq!(proved, read.0, "{}", case.name);
@@ -74,7 +74,7 @@
         (40, Some(seconds(5)), seconds(2)),
         (2, Some(seconds(3)), Duration::from_millis(1_200)),
     ] {
-        let watch = config_position::max_watch(readers, bound);
+        let watch = watch_position::max_config_watch(readers, bound);
         assert_eq!(watch, longest, "{readers} readers, bound {bound:?}");
     }
 }
