--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,7 +8,8 @@
 //! read it ([`reader_sync`]).
 //!
 //! Locks are not nested, except that the view is read under the locks of the store health and of
-//! the misdirected target, and the proof of the configuration under that of the view. No lock is held across an `await`.
+//! the misdirected target, and the proof of the configuration under that of the view. No lock is
+//! held across an `await`.
 
 pub mod admission_queue;
 mod attempt;
