Sharpen the test of restarted reads: the read takes longer than two attempts are apart

With an attempt each 0.3 s and the answer of the other node in between, a read of 0.7 s came to its end even if each attempt started it again (mutation slow-read-restarted was missed). It takes 1.2 s now, with the same limit of 2 s.

--- a/tests/relays/store_calls.rs
+++ b/tests/relays/store_calls.rs
@@ -109,7 +109,7 @@
 async fn a_slow_read_of_the_configuration_is_not_started_again() {
     let fleet = RelayFleet::start(37, &["a", "b"]).await;
     fleet.store.silence_watches();
-    fleet.store.slow_reads(Duration::from_millis(700));
+    fleet.store.slow_reads(Duration::from_millis(1_200));
     fleet.store.publish(table(2, &["a", "b"]));
     let relay = fleet.members[0].node.relay();
     let other = fleet.members[1].node.relay().cfg().peers;
