Limit request bodies across regions in a bucket of their own

One bucket for bodies and responses, divided among the nodes of a region, kept small calls of runs out: the mean size of a call filled what was left. Responses are limited as before the incident again; bodies have a bucket that the nodes of a region share.

--- a/src/coordination/link_budget.rs
+++ b/src/coordination/link_budget.rs
@@ -2,14 +2,16 @@
 //!
 //! The budget is a pair of token buckets, one of them reserved for critical calls. Each failure
 //! domain has its own pair, refilled at its share of the link's rate, so that a domain that is
-//! partitioned from the others needs no coordination. A call is charged its request body, whose size
-//! is known, and an estimate of the rest when it is sent, and the difference when it is answered.
+//! partitioned from the others needs no coordination. The size of a response is not known in
+//! advance: a call is charged an estimate when it is sent, and the difference when it is answered.
+//! The length of a request body is known. Bodies have a bucket of their own, so that large ones leave
+//! room for small calls.
 
 use std::time::Duration;
 
 use crate::clock::Time;
 
-/// Estimated size of a call in bytes, without its request body, before the first call was measured.
+/// Estimated size of a call in bytes before the first call was measured.
 pub const INITIAL_ESTIMATE_BYTES: f64 = 4_096.0;
 
 /// Weight of the newest call in the moving average of call sizes.
@@ -28,6 +30,17 @@
     pub reserved_share: f64,
     /// Maximum debt, as the time in which it is refilled.
     pub max_debt: Duration,
+    /// Limit on the request bodies that are sent, if there is one.
+    pub bodies: Option<BodyLimit>,
+}
+
+/// Limit on the request bodies that are sent over a link.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BodyLimit {
+    /// Refill rate in bytes per second.
+    pub bytes_per_s: f64,
+    /// Bucket capacity, as the time in which it is refilled.
+    pub burst: Duration,
 }
 
 impl Default for LinkConfig {
@@ -38,6 +51,7 @@
             burst: Duration::from_secs(10),
             reserved_share: 0.3,
             max_debt: Duration::from_secs(30),
+            bodies: None,
         }
     }
 }
@@ -59,14 +73,13 @@
 }
 
 impl Bucket {
-    fn new(cfg: &LinkConfig, share: f64, now: Time) -> Bucket {
-        let rate = cfg.bytes_per_s * share;
-        let capacity = rate * cfg.burst.as_secs_f64();
+    fn new(rate: f64, burst: Duration, max_debt: Duration, now: Time) -> Bucket {
+        let capacity = rate * burst.as_secs_f64();
         Bucket {
             level: capacity,
             rate,
             capacity,
-            min_level: -rate * cfg.max_debt.as_secs_f64(),
+            min_level: -rate * max_debt.as_secs_f64(),
             refilled_at: now,
         }
     }
@@ -85,13 +98,11 @@
         self
     }
 
-    /// Returns the bytes to take for a call with a request body of `request_bytes` and an estimated
-    /// rest, or `None` if the bucket does not hold them. A full bucket suffices for any call. Of a
-    /// larger one, the request body is taken in full.
-    fn quote(&self, request_bytes: f64, estimate_bytes: f64, now: Time) -> Option<f64> {
-        let needed = (request_bytes + estimate_bytes).min(self.capacity);
-        let allowed = self.capacity > 0.0 && self.level_at(now) >= needed;
-        allowed.then_some(needed.max(request_bytes))
+    /// Returns the bytes to take for a call of `estimate_bytes`, capped at the bucket's capacity,
+    /// or `None` if the bucket does not hold them.
+    fn quote(&self, estimate_bytes: f64, now: Time) -> Option<f64> {
+        let bytes = estimate_bytes.min(self.capacity);
+        (self.capacity > 0.0 && self.level_at(now) >= bytes).then_some(bytes)
     }
 
     /// Takes `bytes` from the bucket, or gives them back if negative. Returns the bytes that exceed
@@ -108,7 +119,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Charge {
     bytes: f64,
-    /// Part of it that is known, for the request body.
     request_bytes: f64,
     reserved: bool,
 }
@@ -119,6 +129,7 @@
     enabled: bool,
     common: Bucket,
     reserved: Bucket,
+    bodies: Option<Bucket>,
     estimate_bytes: f64,
     uncharged: f64,
 }
@@ -127,10 +138,14 @@
     /// Creates a budget with full buckets.
     pub fn new(cfg: &LinkConfig, now: Time) -> LinkBudget {
         let reserved = cfg.reserved_share.clamp(0.0, 1.0);
+        let bucket = |rate, burst| Bucket::new(rate, burst, cfg.max_debt, now);
         LinkBudget {
             enabled: cfg.enabled,
-            common: Bucket::new(cfg, 1.0 - reserved, now),
-            reserved: Bucket::new(cfg, reserved, now),
+            common: bucket(cfg.bytes_per_s * (1.0 - reserved), cfg.burst),
+            reserved: bucket(cfg.bytes_per_s * reserved, cfg.burst),
+            bodies: cfg
+                .bodies
+                .map(|limit| bucket(limit.bytes_per_s, limit.burst)),
             estimate_bytes: INITIAL_ESTIMATE_BYTES,
             uncharged: 0.0,
         }
@@ -142,24 +157,32 @@
         self.enabled = full.enabled;
         self.common = full.common.with_fill_of(&self.common, now);
         self.reserved = full.reserved.with_fill_of(&self.reserved, now);
+        self.bodies = match (full.bodies, &self.bodies) {
+            (Some(bodies), Some(known)) => Some(bodies.with_fill_of(known, now)),
+            (bodies, _) => bodies,
+        };
     }
 
     /// Returns the charge for a call with a request body of `request_bytes`, or `None` if the budget
     /// does not allow it. Critical calls use the reserved bucket first.
     pub fn quote(&self, critical: bool, request_bytes: u64, now: Time) -> Option<Charge> {
         let request_bytes = request_bytes as f64;
-        let estimate = self.estimate_bytes;
+        if request_bytes > 0.0
+            && let Some(bodies) = &self.bodies
+        {
+            bodies.quote(request_bytes, now)?;
+        }
         let charge = |bytes, reserved| Charge {
             bytes,
             request_bytes,
             reserved,
         };
-        if critical && let Some(bytes) = self.reserved.quote(request_bytes, estimate, now) {
+        if critical && let Some(bytes) = self.reserved.quote(self.estimate_bytes, now) {
             return Some(charge(bytes, true));
         }
         let bytes = match self.enabled {
-            true => self.common.quote(request_bytes, estimate, now)?,
-            false => request_bytes + estimate,
+            true => self.common.quote(self.estimate_bytes, now)?,
+            false => self.estimate_bytes,
         };
         Some(charge(bytes, false))
     }
@@ -167,17 +190,19 @@
     /// Takes the charge of a call that is being sent.
     pub fn charge(&mut self, charge: &Charge, now: Time) {
         self.take(charge.reserved, charge.bytes, now);
+        if let Some(bodies) = &mut self.bodies {
+            self.uncharged += bodies.take(charge.request_bytes, now);
+        }
     }
 
-    /// Corrects the charge of a call that transferred `bytes` in both directions; 0 if unknown, in
-    /// which case the charge stands.
+    /// Corrects the charge of a call whose response had `bytes`; 0 if unknown, in which case the
+    /// charge stands.
     pub fn settle(&mut self, charge: &Charge, bytes: u64, now: Time) {
         if bytes == 0 {
             return;
         }
         let bytes = bytes as f64;
-        let rest = (bytes - charge.request_bytes).max(0.0);
-        self.estimate_bytes += ESTIMATE_WEIGHT * (rest - self.estimate_bytes);
+        self.estimate_bytes += ESTIMATE_WEIGHT * (bytes - self.estimate_bytes);
         self.take(charge.reserved, bytes - charge.bytes, now);
     }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -24,23 +24,19 @@
     service: &'a ServiceName,
     pick: &'a Pick,
     started_at: Time,
-    /// Length of the request body in bytes.
-    request_bytes: u64,
     /// Start of the attempt on the boot clock.
     asked: Time,
     reported: bool,
 }
 
 impl<'a> AttemptGuard<'a> {
-    /// Builds the guard of an attempt that starts at `started_at`, with a request body of
-    /// `request_bytes`.
+    /// Builds the guard of an attempt that starts at `started_at`.
     pub(super) fn new(
         relay: &'a Relay,
         route: &'a Route,
         service: &'a ServiceName,
         pick: &'a Pick,
         started_at: Time,
-        request_bytes: u64,
     ) -> AttemptGuard<'a> {
         AttemptGuard {
             relay,
@@ -48,7 +44,6 @@
             service,
             pick,
             started_at,
-            request_bytes,
             asked: relay.boot_now(),
             reported: false,
         }
@@ -76,7 +71,7 @@
             }
         );
         let bytes = match &reply.outcome {
-            RunOutcome::Completed { body, .. } => self.request_bytes + body.len() as u64,
+            RunOutcome::Completed { body, .. } => body.len() as u64,
             _ => 0,
         };
         let observation = Observation {
--- a/src/relay/call/dispatch.rs
+++ b/src/relay/call/dispatch.rs
@@ -181,14 +181,7 @@
             .coordination()
             .router
             .record_attempt_start(pick, now);
-        let mut guard = AttemptGuard::new(
-            self.relay,
-            self.route,
-            &self.service,
-            pick,
-            now,
-            self.request.body.len() as u64,
-        );
+        let mut guard = AttemptGuard::new(self.relay, self.route, &self.service, pick, now);
         self.possibly_running.store(true, Ordering::Relaxed);
         let req = self.run_request(pick, repetition, now);
         let reply = match self.is_local(pick) {
--- a/src/relay/region_links.rs
+++ b/src/relay/region_links.rs
@@ -1,35 +1,41 @@
 //! Byte budgets of the links to other regions.
 //!
 //! Requests that go to another region share the link with reads of the platform's store. A full link
-//! cuts a whole region off from the configuration, so that the nodes of a region share one budget.
+//! cuts a whole region off from the configuration, so that the nodes of a region share one limit on the
+//! request bodies that they send.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::clock::Time;
 use crate::coordination::link_budget;
+use crate::coordination::link_budget::BodyLimit;
 use crate::coordination::link_budget::LinkConfig;
 use crate::coordination::routing::Router;
 use crate::instance::Instance;
 use crate::instance::RegionName;
 
-/// Bytes per second that all nodes of a region may send to and receive from each other region for
-/// their requests. It leaves room on a link of 60 Mbit/s when both regions use it up.
-const LINK_BYTES_PER_S: f64 = 3_200_000.0;
+/// Bytes per second that one node may receive from each other region. Routing prefers near instances
+/// and so keeps cross-region traffic low.
+const NODE_BYTES_PER_S: f64 = 200_000.0;
 
-/// Most bytes per second of one node. Routing prefers near instances, so that most nodes need less.
-const MAX_NODE_BYTES_PER_S: f64 = 200_000.0;
+/// Bytes per second of request bodies that all nodes of a region may send to each other region. It
+/// leaves room on a link of 60 Mbit/s.
+const BODY_BYTES_PER_S: f64 = 3_200_000.0;
 
-/// Time in which an unused budget is refilled. What it holds may be sent at once.
-const BURST: Duration = Duration::from_secs(1);
+/// Time in which an unused limit on request bodies is refilled. What it holds may be sent at once.
+const BODY_BURST: Duration = Duration::from_secs(1);
 
 /// Returns the budget of one node for the link to another region, if `nodes` nodes of its region
 /// share it.
 pub fn link_config(nodes: usize) -> LinkConfig {
-    let share = link_budget::node_bytes_per_s(LINK_BYTES_PER_S, 1, nodes);
+    let share = link_budget::node_bytes_per_s(BODY_BYTES_PER_S, 1, nodes);
     LinkConfig {
-        bytes_per_s: share.min(MAX_NODE_BYTES_PER_S),
-        burst: BURST,
+        bytes_per_s: NODE_BYTES_PER_S,
+        bodies: Some(BodyLimit {
+            bytes_per_s: share.min(NODE_BYTES_PER_S),
+            burst: BODY_BURST,
+        }),
         ..LinkConfig::default()
     }
 }
