Count a reader's word from the last answer of the store

Cause: a reader called itself fresh for 1.8 s after a list, stated that up to 0.5 s after it had checked it, and its followers relied on the statement for 1.2 s more. The statement was passed on without the time that it spoke of. When the store went silent for both readers of a failure domain, their followers turned to it up to 3.5 s after its last answer; the bounds are 2 and 3 s. Only a report from a node elsewhere was quicker.

Change: a reply carries the time since the store answered the reader and the time for which the reply was held; followers rely on it for 1.4 s from that answer (coordination/supply.rs). A held reply states what holds when it is sent.

Test: followers_turn_to_the_store_soon_after_its_last_answer_to_their_readers failed before, 2.0 s after the last answer; it passes. The stand-in store now also leaves calls that wait without an answer.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -48,6 +48,7 @@
 pub mod shutdown;
 pub mod slots;
 pub mod subset;
+pub mod supply;
 pub mod target;
 pub mod target_group;
 pub mod token;
--- a/src/protocol/sync.rs
+++ b/src/protocol/sync.rs
@@ -30,9 +30,12 @@
 /// Reply of a node that is asked for what it has read from the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SyncReply {
-    /// Whether the replying node reads the store itself and has read it within the last seconds. If
-    /// not, the asking node must read the store on its own, but may use the configuration.
-    pub fresh: bool,
+    /// Time since the store last answered the replying node, in milliseconds, if it reads the store
+    /// itself and the store answers it. If not, the asking node must read the store on its own, but
+    /// may use the configuration.
+    pub store_age_ms: Option<u32>,
+    /// Time for which the reply was held back for want of news, in milliseconds.
+    pub held_ms: u32,
     /// Version of the configuration that the replying node applies.
     pub config_version: u64,
     /// Time since that was known to be the newest one, in milliseconds, if that is known.
@@ -44,6 +47,11 @@
 }
 
 impl SyncReply {
+    /// Returns whether the replying node reads the store and answers for it.
+    pub fn is_from_store(&self) -> bool {
+        self.store_age_ms.is_some()
+    }
+
     /// Returns whether the reply has anything that the asking node does not know.
     pub fn has_news(&self) -> bool {
         self.routes.is_some() || self.list.is_some()
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -84,6 +84,7 @@
 use crate::coordination::routing::Router;
 use crate::coordination::routing::RoutingConfig;
 use crate::coordination::shutdown::ShutdownPlan;
+use crate::coordination::supply::Supply;
 use crate::instance::DomainName;
 use crate::instance::InstanceName;
 use crate::instance::RegionName;
@@ -211,8 +212,8 @@
     seen_version: Mutex<Option<SeenVersion>>,
     /// Notified when the view or the health of the store changes.
     view_changed: Notify,
-    /// Time of the last reply of a reader, while this node follows one.
-    synced_at: Mutex<Option<Time>>,
+    /// What this node has from the readers that it follows.
+    supply: Mutex<Supply>,
     incarnation: u64,
 }
 
@@ -295,7 +296,7 @@
             version_missed: Notify::new(),
             seen_version: Mutex::default(),
             view_changed: Notify::new(),
-            synced_at: Mutex::default(),
+            supply: Mutex::default(),
             incarnation,
             clock,
             boot_clock: Clock::boot(),
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -3,10 +3,12 @@
 //! Of the nodes of a failure domain, only the first by rendezvous hash read the configuration and
 //! the list of targets from the store. The others, the followers, ask these readers, so that the
 //! calls to the store grow with the number of failure domains and not with the number of nodes. A
-//! follower that hears from no reader for [`SYNC_TTL`] reads the store itself until it does.
+//! follower whose readers the store has not answered for [`MAX_SUPPLY_AGE`] reads the store itself
+//! until it does.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -14,6 +16,9 @@
 
 use crate::clock::Time;
 use crate::coordination::reader;
+use crate::coordination::supply;
+use crate::coordination::supply::MAX_SUPPLY_AGE;
+use crate::coordination::supply::Supply;
 use crate::instance::Instance;
 use crate::instance::InstanceState;
 use crate::protocol::sync::KnownState;
@@ -21,6 +26,7 @@
 use crate::protocol::sync::TargetList;
 use crate::relay::Relay;
 use crate::relay::config_source::ConfigSource;
+use crate::relay::freshness::millis;
 
 /// Number of nodes of a failure domain that read the store. A second one serves the followers
 /// without a pause when the first fails.
@@ -32,18 +38,12 @@
 /// Time that a node waits for a reply: [`SYNC_WAIT`] and a margin.
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Time after the last reply of a reader during which a follower does not read the store itself.
-const SYNC_TTL: Duration = Duration::from_millis(1_200);
-
 /// Pause of a follower after a reader did not reply or had no recent content itself.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time between two checks of whether this node still follows or reads.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(200);
 
-/// Age of the list up to which a reader answers for the store. The list is read each second.
-const MAX_LIST_AGE: Duration = Duration::from_millis(1_800);
-
 /// Time between two evaluations of an unchanged list, which drops targets that have been missing
 /// for too long.
 const REEVALUATION_PERIOD: Duration = Duration::from_millis(1_000);
@@ -80,14 +80,17 @@
 
     /// Returns whether a reader supplies this node with the content of the store.
     pub fn is_following(&self) -> bool {
-        let synced_at = *self.synced_at.lock().unwrap_or_else(|p| p.into_inner());
-        synced_at.is_some_and(|at| self.now().since(at) < SYNC_TTL)
+        self.supply().is_valid(self.now())
     }
 
     /// Waits until no reader supplies this node any more.
     pub async fn wait_while_following(&self) {
-        while self.is_following() {
-            sleep(ROLE_CHECK_PERIOD).await;
+        loop {
+            let remaining = self.supply().remaining(self.now());
+            if remaining.is_zero() {
+                return;
+            }
+            sleep(remaining.min(ROLE_CHECK_PERIOD)).await;
         }
     }
 
@@ -110,16 +113,18 @@
 
     /// Replies to a node that knows `known`. Waits up to [`SYNC_WAIT`] for news.
     pub async fn answer_sync(&self, known: KnownState) -> SyncReply {
-        let until = Instant::now() + SYNC_WAIT;
+        let asked = Instant::now();
         loop {
             let changed = self.view_changed.notified();
-            let reply = self.sync_reply(known);
-            if !reply.fresh || reply.has_news() {
+            let mut reply = self.sync_reply(known);
+            let held = asked.elapsed();
+            if !reply.is_from_store() || reply.has_news() || held >= SYNC_WAIT {
+                reply.held_ms = u32::try_from(held.as_millis()).unwrap_or_default();
                 return reply;
             }
             tokio::select! {
                 () = changed => (),
-                () = tokio::time::sleep_until(until) => return reply,
+                () = tokio::time::sleep_until(asked + SYNC_WAIT) => (),
             }
         }
     }
@@ -129,16 +134,17 @@
         let config = self.config_statement();
         let view = self.view();
         let store_unstable = self.is_store_unstable(now);
-        let store_failing = self.store_health().is_failing();
-        let list_is_recent = view.has_list() && now.since(view.listed_at) < MAX_LIST_AGE;
+        let reads_store = view.has_list() && !self.is_following();
+        let store_age = self.store_health().list_age(now);
+        let store_age = store_age.filter(|age| reads_store && *age < MAX_SUPPLY_AGE);
         let newer_routes = view
             .routes
             .as_ref()
             .filter(|table| table.version > known.config_version);
-        let fresh = !self.is_following() && !store_failing && list_is_recent;
-        let newer_list = fresh && view.list_revision > known.list_revision;
+        let newer_list = store_age.is_some() && view.list_revision > known.list_revision;
         SyncReply {
-            fresh,
+            store_age_ms: store_age.map(millis),
+            held_ms: 0,
             config_version: config.version,
             config_age_ms: config.age_ms(),
             routes: newer_routes.map(|table| table.as_ref().clone()),
@@ -168,9 +174,13 @@
         }
     }
 
-    /// Applies the list of targets in the reply of a reader, which supplies this node from now on.
-    fn apply_sync_list(&self, reply: SyncReply, now: Time) {
+    /// Applies the list of targets in the reply of a reader that was asked at `asked`. It supplies this
+    /// node from now on.
+    fn apply_sync_list(&self, reply: SyncReply, asked: Time) {
+        let now = self.now();
         let view = self.view();
+        let held = Duration::from_millis(u64::from(reply.held_ms));
+        let store_age = Duration::from_millis(u64::from(reply.store_age_ms.unwrap_or(u32::MAX)));
         match reply.list {
             Some(list) if list.revision > view.list_revision => self.apply_list(list),
             _ if now.since(view.listed_at) >= REEVALUATION_PERIOD => {
@@ -178,19 +188,22 @@
             }
             _ => (),
         }
-        let mut synced_at = self.synced_at.lock().unwrap_or_else(|p| p.into_inner());
-        if synced_at.replace(now).is_none() {
+        let answered_at = supply::answered_at(asked, held, store_age);
+        if self.supply().record(answered_at) {
             log::info!("configuration and targets are received from another node");
         }
     }
 
     /// Makes this node read the store itself.
     fn stop_following(&self) {
-        let mut synced_at = self.synced_at.lock().unwrap_or_else(|p| p.into_inner());
-        if synced_at.take().is_some() {
+        if self.supply().end() {
             log::info!("configuration and targets are read from the store");
         }
     }
+
+    fn supply(&self) -> MutexGuard<'_, Supply> {
+        self.supply.lock().unwrap_or_else(|p| p.into_inner())
+    }
 }
 
 /// Keeps this node up to date from the reader with the given rank in its failure domain, as long as
@@ -207,6 +220,7 @@
         };
         let known = relay.known_state();
         let asked = relay.boot_now();
+        let asked_at = relay.now();
         let mut reply = relay
             .peer_client()
             .sync(address, known, REPLY_TIMEOUT)
@@ -214,8 +228,8 @@
         if let Some(reply) = &mut reply {
             relay.apply_sync_config(reply, asked, ConfigSource::Reader);
         }
-        match reply.filter(|reply| reply.fresh) {
-            Some(reply) => relay.apply_sync_list(reply, relay.now()),
+        match reply.filter(SyncReply::is_from_store) {
+            Some(reply) => relay.apply_sync_list(reply, asked_at),
             None => {
                 if !relay.is_following() {
                     relay.stop_following();
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -44,7 +44,13 @@
         self.metrics.record_store_call(result.is_ok());
         let worked = result.as_ref().err().is_none_or(StoreError::is_answer);
         let jitter = self.coordination().rng.random_range(0.0..1.0);
-        let changed = self.store_health().record(worked, jitter, self.now());
+        let changed = {
+            let mut health = self.store_health();
+            if worked && query == Query::Targets {
+                health.record_list(started_at);
+            }
+            health.record(worked, jitter, self.now())
+        };
         if changed {
             self.view_changed.notify_waiters();
         }
--- a/src/relay/store_sync.rs
+++ b/src/relay/store_sync.rs
@@ -148,6 +148,8 @@
 pub struct StoreHealth {
     last_failure: Option<Time>,
     recovered_at: Option<Time>,
+    /// When the last answered read of the list was sent.
+    list_asked: Option<Time>,
     backoff: Duration,
     next_call: Time,
 }
@@ -187,6 +189,18 @@
         self.last_failure.replace(now).is_none()
     }
 
+    /// Records that the store has answered a read of the list that was sent at `asked`.
+    pub fn record_list(&mut self, asked: Time) {
+        self.list_asked = self.list_asked.max(Some(asked));
+    }
+
+    /// Returns the time since the last answered read of the list was sent, or nothing while the store
+    /// fails.
+    pub fn list_age(&self, now: Time) -> Option<Duration> {
+        let asked = self.list_asked.filter(|_| !self.is_failing());
+        asked.map(|asked| now.since(asked))
+    }
+
     /// Returns the time of the last recovery, or nothing while the store fails.
     pub fn recovered_at(&self) -> Option<Time> {
         self.recovered_at.filter(|_| self.last_failure.is_none())
--- a/tests/relays/config_versions.rs
+++ b/tests/relays/config_versions.rs
@@ -2,14 +2,19 @@
 
 use std::time::Duration;
 
+use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::support::relay_fleet::Member;
 use crate::support::relay_fleet::RelayFleet;
 use crate::support::relay_fleet::table;
 
 /// Time within which a published configuration must be in force: `config_apply_ms` of the users.
 const APPLY_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// The same for the smallest fleets of the users.
+const SHORT_APPLY_LIMIT: Duration = Duration::from_millis(2_000);
+
 async fn wait_for_version(fleet: &RelayFleet, version: u64, when: &str) {
     let applied = fleet.wait_until(|fleet| {
         let mut relays = fleet.members.iter().map(|member| member.node.relay());
@@ -61,3 +66,26 @@
     fleet.store.publish(table(2, &["a", "b"]));
     wait_for_version(&fleet, 2, "answered to one node").await;
 }
+
+/// Guards against followers that rely on readers long after the store has gone silent for these.
+#[tokio::test]
+async fn followers_turn_to_the_store_soon_after_its_last_answer_to_their_readers() {
+    let fleet = RelayFleet::start(142, &["a", "a", "a", "a"]).await;
+    let (readers, followers): (Vec<&Member>, Vec<&Member>) = fleet
+        .members
+        .iter()
+        .partition(|member| member.node.relay().is_reader());
+    fleet
+        .wait_until(|_| followers.iter().all(|m| m.node.relay().is_following()))
+        .await;
+    for reader in readers {
+        let name = reader.node.relay().cfg().name.clone();
+        fleet.store.ignore_node(name.as_str());
+    }
+    let following = || followers.iter().any(|m| m.node.relay().is_following());
+    while following() {
+        let age = fleet.store.list_age();
+        assert!(age < SHORT_APPLY_LIMIT, "{age:?} after its last answer");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/tests/support/relay_fleet.rs
+++ b/tests/support/relay_fleet.rs
@@ -53,6 +53,8 @@
     slow_reads: Option<Duration>,
     breaks: u32,
     calls: HashMap<String, u32>,
+    /// When a read of the list was last answered.
+    listed_at: Option<tokio::time::Instant>,
 }
 
 /// An in-memory store. Clones share the same content.
@@ -82,7 +84,7 @@
         self.0.lock().unwrap().refused_nodes.push(node.to_owned());
     }
 
-    /// Leaves the calls of a node without an answer from now on.
+    /// Leaves the calls of a node without an answer from now on, also those that wait.
     pub(crate) fn ignore_node(&self, node: &str) {
         self.0
             .lock()
@@ -128,6 +130,12 @@
         state.calls.get(node).copied().unwrap_or_default()
     }
 
+    /// Returns the time since a read of the list was last answered.
+    pub(crate) fn list_age(&self) -> Duration {
+        let state = self.0.lock().unwrap();
+        state.listed_at.map_or(Duration::MAX, |at| at.elapsed())
+    }
+
     /// Serves all nodes again.
     pub(crate) fn serve_all_nodes(&self) {
         self.0.lock().unwrap().refused_nodes.clear();
@@ -150,15 +158,15 @@
             *state.calls.entry(node.to_owned()).or_default() += 1;
             state.breaks
         };
-        if self.ignores(node) {
-            tokio::time::sleep_until(until + CALL_TIMEOUT_MARGIN).await;
-            return Err(StoreError::TimedOut);
-        }
         let slow = self.0.lock().unwrap().slow_reads;
         if let (Query::Routes, Some(time)) = (&query, slow) {
             tokio::time::sleep(time).await;
         }
         loop {
+            if self.ignores(node) {
+                tokio::time::sleep_until(until + CALL_TIMEOUT_MARGIN).await;
+                return Err(StoreError::TimedOut);
+            }
             if self.0.lock().unwrap().breaks != breaks {
                 return Err(StoreError::Unreachable("cut".to_owned()));
             }
@@ -188,7 +196,7 @@
 
     /// Returns the result of a query, or nothing while it waits for a change.
     fn query(&self, node: &str, query: &Query) -> Option<Result<QueryResult, StoreError>> {
-        let state = self.0.lock().unwrap();
+        let mut state = self.0.lock().unwrap();
         if state.refused_nodes.iter().any(|refused| refused == node) {
             return Some(Err(StoreError::Refused(503)));
         }
@@ -202,6 +210,9 @@
                 age_ms: None,
             }));
         }
+        if *query == Query::Targets {
+            state.listed_at = Some(tokio::time::Instant::now());
+        }
         let target_change = |name: &InstanceName| {
             let found = state.targets.iter().find(|t| t.instance.name == *name);
             found.map_or(TargetChange::Removed, |t| {
