Charge request bodies to the link budget of dragonflylead-node

Cause: where request bodies have no limit of their own, as in dragonflylead-node, the budget of a link counted responses only, and the dispatcher did not know the length of a body. A call with a large body and a short response cost nothing.

Change: a call states the length of its body, which is charged when it is sent, together with the estimate of the response.

Test: a_link_budget_without_a_limit_on_bodies_counts_them_with_the_responses failed before: more than 1,000,000 bytes were sent of 700,000. Responses alone are charged as before.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -238,6 +238,7 @@
         let call = Call {
             service: &self.services[self.calls % self.services.len()],
             context: &self.context,
+            request_bytes: 0,
             cross_region: true,
             excluded: None,
         };
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -95,7 +95,7 @@
     pub level: Option<&'a str>,
     /// Time from the start to the end of the attempt.
     pub took: Duration,
-    /// Size of the request and the response, in bytes; 0 if unknown.
+    /// Size of the response, in bytes; 0 if unknown.
     pub bytes: u64,
 }
 
@@ -329,7 +329,7 @@
             return Err(NotRunKind::NoSuchService);
         }
         let args = PickArgs {
-            request_bytes: 0,
+            request_bytes: plan.request_bytes(),
             service: plan.service(),
             priority: plan.context().priority,
             idempotent: plan.context().idempotent,
--- a/src/coordination/link_budget.rs
+++ b/src/coordination/link_budget.rs
@@ -4,8 +4,8 @@
 //! domain has its own pair, refilled at its share of the link's rate, so that a domain that is
 //! partitioned from the others needs no coordination. The size of a response is not known in
 //! advance: a call is charged an estimate when it is sent, and the difference when it is answered.
-//! The length of a request body is known. Bodies have a bucket of their own, so that large ones leave
-//! room for small calls.
+//! The length of a request body is known and charged as it is. Where bodies have a limit, they have a
+//! bucket of their own, so that large ones leave room for small calls.
 
 use std::time::Duration;
 
@@ -177,12 +177,13 @@
             request_bytes,
             reserved,
         };
-        if critical && let Some(bytes) = self.reserved.quote(self.estimate_bytes, now) {
+        let expected = self.estimate_bytes + self.unlimited_bytes(request_bytes);
+        if critical && let Some(bytes) = self.reserved.quote(expected, now) {
             return Some(charge(bytes, true));
         }
         let bytes = match self.enabled {
-            true => self.common.quote(self.estimate_bytes, now)?,
-            false => self.estimate_bytes,
+            true => self.common.quote(expected, now)?,
+            false => expected,
         };
         Some(charge(bytes, false))
     }
@@ -203,7 +204,17 @@
         }
         let bytes = bytes as f64;
         self.estimate_bytes += ESTIMATE_WEIGHT * (bytes - self.estimate_bytes);
-        self.take(charge.reserved, bytes - charge.bytes, now);
+        let total = bytes + self.unlimited_bytes(charge.request_bytes);
+        self.take(charge.reserved, total - charge.bytes, now);
+    }
+
+    /// Returns the bytes of a request body that count together with the response, because bodies have
+    /// no limit of their own.
+    fn unlimited_bytes(&self, request_bytes: f64) -> f64 {
+        match self.bodies {
+            Some(_) => 0.0,
+            None => request_bytes,
+        }
     }
 
     /// Returns the bytes left for calls that are not critical; negative while in debt.
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -21,6 +21,8 @@
     pub service: &'a ServiceName,
     /// Context of the call, with the spare attempts that it may use.
     pub context: &'a CallContext,
+    /// Length of its request body.
+    pub request_bytes: u64,
     /// Whether the call may leave its region.
     pub cross_region: bool,
     /// Instance that must not be used, because it already refused the call.
@@ -113,6 +115,7 @@
 pub struct Plan {
     service: ServiceName,
     context: CallContext,
+    request_bytes: u64,
     cross_region: bool,
     deadline: Time,
     tried: Vec<InstanceName>,
@@ -129,6 +132,7 @@
         Plan {
             service: call.service.clone(),
             context: call.context.clone(),
+            request_bytes: call.request_bytes,
             cross_region: call.cross_region,
             deadline: now.plus(call.context.remaining),
             tried: call.excluded.into_iter().cloned().collect(),
@@ -150,6 +154,11 @@
         &self.context
     }
 
+    /// Returns the length of the request body.
+    pub fn request_bytes(&self) -> u64 {
+        self.request_bytes
+    }
+
     /// Returns whether the call may leave its region.
     pub fn cross_region(&self) -> bool {
         self.cross_region
--- a/src/transport/egress.rs
+++ b/src/transport/egress.rs
@@ -217,6 +217,7 @@
     let call = Call {
         service: out.service,
         context: out.context,
+        request_bytes: out.body.len() as u64,
         cross_region: out.cross_region,
         excluded: out.excluded,
     };
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -317,6 +317,7 @@
     let call = Call {
         service: &ServiceName::new("payments"),
         context,
+        request_bytes: 0,
         cross_region: true,
         excluded,
     };
--- a/tests/replay/egress.rs
+++ b/tests/replay/egress.rs
@@ -79,6 +79,7 @@
         let call = Call {
             service: &ServiceName::new("sanidad"),
             context: &context,
+            request_bytes: 0,
             cross_region: false,
             excluded: None,
         };
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -543,6 +543,27 @@
     );
 }
 
+/// Guards against large requests that cost nothing on a link whose budget has no limit for them.
+#[test]
+fn a_link_budget_without_a_limit_on_bodies_counts_them_with_the_responses() {
+    const BODY: u64 = 50_000;
+    let cfg = LinkConfig {
+        bytes_per_s: 100_000.0,
+        ..LinkConfig::default()
+    };
+    let mut link = LinkBudget::new(&cfg, Time::ZERO);
+    let mut sent = 0;
+    while sent <= 1_000_000
+        && let Some(charge) = link.quote(false, BODY, Time::ZERO)
+    {
+        link.charge(&charge, Time::ZERO);
+        link.settle(&charge, 400, Time::ZERO);
+        sent += BODY;
+    }
+    assert!(sent > 500_000, "{sent} bytes were sent");
+    assert!(sent <= 700_000, "{sent} bytes were sent of 700,000");
+}
+
 #[test]
 fn link_budget_limits_calls_and_bounds_debt() {
     let cfg = LinkConfig {
--- a/tests/weighed_leases.rs
+++ b/tests/weighed_leases.rs
@@ -82,6 +82,7 @@
         let call = Call {
             service: &ServiceName::new("payments"),
             context,
+            request_bytes: 0,
             cross_region: true,
             excluded: None,
         };
