Move the health of the store to a module of its own

The two filters of the newest version that another node applies are one function. Behaviour is as before.

--- a/src/relay/peer_versions.rs
+++ b/src/relay/peer_versions.rs
@@ -65,8 +65,7 @@
     /// Returns the newest version that another node was seen to apply, as long as it is newer than
     /// the configuration in force.
     pub fn missing_version(&self) -> Option<SeenVersion> {
-        let seen = *self.seen_version();
-        seen.filter(|seen| seen.version > self.config_version())
+        self.seen_at_least(self.config_version().saturating_add(1))
     }
 
     /// Waits until another node applies a newer configuration that was not delivered in time.
@@ -77,11 +76,16 @@
     /// Returns the time for which this node has known of `version` or a newer one, in milliseconds,
     /// or nothing if no other node has reported it.
     pub(super) fn known_for_ms(&self, version: u64) -> Option<u64> {
-        let seen = *self.seen_version();
-        let seen = seen.filter(|seen| seen.version >= version)?;
+        let seen = self.seen_at_least(version)?;
         u64::try_from(self.now().since(seen.seen_at).as_millis()).ok()
     }
 
+    /// Returns the newest version that another node was seen to apply, if it is at least `min`.
+    fn seen_at_least(&self, min: u64) -> Option<SeenVersion> {
+        let seen = *self.seen_version();
+        seen.filter(|seen| seen.version >= min)
+    }
+
     /// Asks the node at `peer` for its configuration, if that is newer, and applies it.
     async fn fetch_routes(&self, peer: SocketAddr) {
         let known = KnownState {
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -11,8 +11,8 @@
 use crate::protocol::store_query::QueryResult;
 use crate::relay::Relay;
 use crate::relay::freshness::millis;
+use crate::relay::store_health::StoreHealth;
 use crate::relay::store_sync::StoreError;
-use crate::relay::store_sync::StoreHealth;
 
 /// Limit on the addresses of connected nodes that are remembered.
 const MAX_CONNECTED_PEERS: usize = 32;
--- a/tests/relays/store_calls.rs
+++ b/tests/relays/store_calls.rs
@@ -5,7 +5,7 @@
 use dragonflylead::clock::Time;
 use dragonflylead::instance::InstanceState;
 use dragonflylead::protocol::store_query::TargetEntry;
-use dragonflylead::relay::store_sync::StoreHealth;
+use dragonflylead::relay::store_health::StoreHealth;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
