--- a/src/coordination/supply.rs
+++ b/src/coordination/supply.rs
@@ -28,9 +28,9 @@
         begins
     }
 
-    /// Ends the supply. Returns whether there was one.
-    pub fn end(&mut self) -> bool {
-        self.answered_at.take().is_some()
+    /// Ends the supply. Returns when the store last answered, if there was a supply.
+    pub fn end(&mut self) -> Option<Time> {
+        self.answered_at.take()
     }
 
     /// Returns the time for which the node may still rely on its readers, or zero.
--- a/src/protocol/sync.rs
+++ b/src/protocol/sync.rs
@@ -1,5 +1,7 @@
 //! What a reader of the platform's store passes on to the other nodes of its failure domain.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -52,6 +54,17 @@
         self.store_age_ms.is_some()
     }
 
+    /// Returns the time since the store last answered the replying node, if that answers for the store.
+    pub fn store_age(&self) -> Option<Duration> {
+        let ms = self.store_age_ms?;
+        Some(Duration::from_millis(u64::from(ms)))
+    }
+
+    /// Returns the time for which the reply was held back.
+    pub fn held(&self) -> Duration {
+        Duration::from_millis(u64::from(self.held_ms))
+    }
+
     /// Returns whether the reply has anything that the asking node does not know.
     pub fn has_news(&self) -> bool {
         self.routes.is_some() || self.list.is_some()
--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -174,13 +174,12 @@
         }
     }
 
-    /// Applies the list of targets in the reply of a reader that was asked at `asked`. It supplies this
-    /// node from now on.
-    fn apply_sync_list(&self, reply: SyncReply, asked: Time) {
+    /// Applies the list of targets in the reply of a reader that was asked at `asked`, and that the store
+    /// answered `store_age` before the reply. The reader supplies this node from now on.
+    fn apply_sync_list(&self, reply: SyncReply, store_age: Duration, asked: Time) {
         let now = self.now();
         let view = self.view();
-        let held = Duration::from_millis(u64::from(reply.held_ms));
-        let store_age = Duration::from_millis(u64::from(reply.store_age_ms.unwrap_or(u32::MAX)));
+        let answered_at = supply::answered_at(asked, reply.held(), store_age);
         match reply.list {
             Some(list) if list.revision > view.list_revision => self.apply_list(list),
             _ if now.since(view.listed_at) >= REEVALUATION_PERIOD => {
@@ -188,7 +187,6 @@
             }
             _ => (),
         }
-        let answered_at = supply::answered_at(asked, held, store_age);
         if self.supply().record(answered_at) {
             log::info!("configuration and targets are received from another node");
         }
@@ -196,8 +194,12 @@
 
     /// Makes this node read the store itself.
     fn stop_following(&self) {
-        if self.supply().end() {
-            log::info!("configuration and targets are read from the store");
+        let ended = self.supply().end();
+        if let Some(answered_at) = ended {
+            log::info!(
+                store_age_ms = self.now().since(answered_at).as_millis() as u64;
+                "configuration and targets are read from the store"
+            );
         }
     }
 
@@ -219,17 +221,17 @@
             continue;
         };
         let known = relay.known_state();
-        let asked = relay.boot_now();
-        let asked_at = relay.now();
+        let (asked, boot_asked) = (relay.now(), relay.boot_now());
         let mut reply = relay
             .peer_client()
             .sync(address, known, REPLY_TIMEOUT)
             .await;
         if let Some(reply) = &mut reply {
-            relay.apply_sync_config(reply, asked, ConfigSource::Reader);
+            relay.apply_sync_config(reply, boot_asked, ConfigSource::Reader);
         }
-        match reply.filter(SyncReply::is_from_store) {
-            Some(reply) => relay.apply_sync_list(reply, asked_at),
+        let answered = reply.and_then(|reply| Some((reply.store_age()?, reply)));
+        match answered {
+            Some((store_age, reply)) => relay.apply_sync_list(reply, store_age, asked),
             None => {
                 if !relay.is_following() {
                     relay.stop_following();
--- a/tests/supply.rs
+++ b/tests/supply.rs
@@ -66,6 +66,6 @@
     assert!(!supply.record(Time::from_millis(9_000)));
     assert!(supply.is_valid(now.plus(MAX_SUPPLY_AGE - Duration::from_millis(1))));
     assert!(!supply.is_valid(now.plus(MAX_SUPPLY_AGE)));
-    assert!(supply.end());
+    assert_eq!(supply.end(), Some(now));
     assert!(!supply.is_valid(now));
 }
