Reply to followers at the next answer of the store

Cause: with the age of the store's answer in force for 1.4 s, a list that had not changed was stated up to 0.5 s late, because a question without news was held for that long, and a question that arrived while the list was being read was held beyond it.

Change: a held question is answered when the store has next answered the reader, with or without news.

--- a/src/relay/reader_sync.rs
+++ b/src/relay/reader_sync.rs
@@ -111,14 +111,17 @@
         }
     }
 
-    /// Replies to a node that knows `known`. Waits up to [`SYNC_WAIT`] for news.
+    /// Replies to a node that knows `known`. Waits for news, for the next answer of the store or for
+    /// [`SYNC_WAIT`], whichever comes first.
     pub async fn answer_sync(&self, known: KnownState) -> SyncReply {
         let asked = Instant::now();
+        let known_answer = self.store_health().list_asked();
         loop {
             let changed = self.view_changed.notified();
             let mut reply = self.sync_reply(known);
             let held = asked.elapsed();
-            if !reply.is_from_store() || reply.has_news() || held >= SYNC_WAIT {
+            let answered = self.store_health().list_asked() != known_answer;
+            if !reply.is_from_store() || reply.has_news() || answered || held >= SYNC_WAIT {
                 reply.held_ms = u32::try_from(held.as_millis()).unwrap_or_default();
                 return reply;
             }
--- a/src/relay/store_health.rs
+++ b/src/relay/store_health.rs
@@ -66,6 +66,11 @@
         self.list_asked = self.list_asked.max(Some(asked));
     }
 
+    /// Returns when the last answered read of the list was sent, if there was one.
+    pub fn list_asked(&self) -> Option<Time> {
+        self.list_asked
+    }
+
     /// Returns the time since the last answered read of the list was sent, or nothing while the store
     /// fails.
     pub fn list_age(&self, now: Time) -> Option<Duration> {
