Do not reconnect without a pause to a node that closes connections at once

All twelve nodes were busy.

Cause: when a connection to another node broke, a task opened the next one at once, whose end started a task of its own. A node, or something in front of it, that accepts connections and closes them was connected to without a pause, by more and more tasks: 15,276 broken connections in one second of the soak. A node of another message version does so as well. The code is older than this incident; whether a process that is so busy has been late with a configuration at the users is not known.

Change: one task at a time reconnects to a node, twice a second; a connection that broke within half a second is not replaced at once. A connection that has lasted is, as before.

--- a/src/relay/peer_client.rs
+++ b/src/relay/peer_client.rs
@@ -2,6 +2,7 @@
 //! once, which are answered in any order.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -97,6 +98,8 @@
     memory: MemoryBudget,
     connections: Mutex<HashMap<SocketAddr, ConnectionHandle>>,
     unreachable_since: Mutex<HashMap<SocketAddr, Instant>>,
+    /// Nodes that a task reconnects to.
+    reconnecting: Mutex<HashSet<SocketAddr>>,
     next_number: std::sync::atomic::AtomicU32,
 }
 
@@ -110,6 +113,7 @@
             memory,
             connections: Mutex::default(),
             unreachable_since: Mutex::default(),
+            reconnecting: Mutex::default(),
             next_number: std::sync::atomic::AtomicU32::new(1),
         }
     }
@@ -284,6 +288,7 @@
             .unwrap_or_else(|p| p.into_inner())
             .remove(&address);
         log::debug!(peer:% = address; "connected to node");
+        let connected_at = Instant::now();
         let (rd, mut wr) = stream.into_split();
         let mut frames = FramedRead::new(rd, frame::codec(MAX_FRAME_BYTES));
         let mut connection = PeerConnection::new(self.memory.clone());
@@ -300,24 +305,36 @@
             log::info!(peer:% = address, error:% = e, owed = pending; "connection to node broke");
             self.mark_unreachable(address);
             let last_replies = receive_last_replies(connection, frames, address);
-            tokio::join!(self.reconnect(address), last_replies);
+            tokio::join!(self.reconnect(address, connected_at), last_replies);
         }
     }
 
-    /// Reconnects to a node whose connection broke. If that node restarts while the store does not
-    /// answer it, it learns of other nodes from their connections.
-    async fn reconnect(self: &Arc<PeerClient>, address: SocketAddr) {
+    /// Reconnects to a node whose connection, made at `connected_at`, broke, unless another task does.
+    /// If that node restarts while the store does not answer it, it learns of other nodes from their
+    /// connections. A connection that broke soon is not replaced at once.
+    async fn reconnect(self: &Arc<PeerClient>, address: SocketAddr, connected_at: Instant) {
+        if !self.reconnecting().insert(address) {
+            return;
+        }
+        tokio::time::sleep_until(connected_at + RECONNECT_PERIOD).await;
         for _ in 0..RECONNECT_ATTEMPTS {
             self.connection(address);
             tokio::time::sleep(RECONNECT_PERIOD).await;
-            if self
-                .lock()
-                .get(&address)
-                .is_some_and(|connection| !connection.commands.is_closed())
-            {
-                return;
+            if self.is_connected(address) {
+                break;
             }
         }
+        self.reconnecting().remove(&address);
+    }
+
+    fn is_connected(&self, address: SocketAddr) -> bool {
+        let connections = self.lock();
+        let connection = connections.get(&address);
+        connection.is_some_and(|connection| !connection.commands.is_closed())
+    }
+
+    fn reconnecting(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        self.reconnecting.lock().unwrap_or_else(|p| p.into_inner())
     }
 
     fn mark_unreachable(&self, address: SocketAddr) {
