--- a/tests/relays/config_versions.rs
+++ b/tests/relays/config_versions.rs
@@ -89,3 +89,26 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Guards against followers that learn of the store's answer so late that they read the store as well.
+#[tokio::test]
+async fn a_question_is_answered_when_the_store_has_answered_the_reader_again() {
+    const TRIES: usize = 5;
+    const FULL_WAIT: Duration = Duration::from_millis(500);
+    let fleet = RelayFleet::start(143, &["a"]).await;
+    let relay = fleet.members[0].node.relay();
+    let mut held = Vec::new();
+    for _ in 0..TRIES {
+        let before_next_read = Duration::from_millis(700)..Duration::from_millis(800);
+        fleet
+            .wait_until(|fleet| before_next_read.contains(&fleet.store.list_age()))
+            .await;
+        let reply = relay.answer_sync(relay.known_state()).await;
+        assert!(reply.is_from_store());
+        held.push(reply.held());
+    }
+    assert!(
+        held.iter().any(|held| *held < FULL_WAIT),
+        "held for {held:?}"
+    );
+}
