--- a/review/standin-2/quota.rs
+++ b/review/standin-2/quota.rs
@@ -155,6 +155,7 @@
             service: "palautus".to_owned(),
             id: format!("i-{:08x}", 0x51ac_0017u32.wrapping_mul(index as u32 + 3)),
             slots: 75,
+            born: 1_765_000_000_000,
         })
         .collect();
     let store = Store::new();
--- a/review/standin-2/standin.rs
+++ b/review/standin-2/standin.rs
@@ -27,6 +27,9 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Largest number of machines of a run.
+pub const MAX_MACHINES: usize = 24;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -238,9 +241,7 @@
     changes: Mutex<Vec<Change>>,
     changed: Condvar,
     /// How far the serializable reads of each machine are behind, in milliseconds.
-    pub lag_ms: [AtomicU64; 16],
-    /// What the store does towards each machine: 0 serves, 503 refuses, 1 doesn't answer.
-    pub refuses: [AtomicU64; 16],
+    pub lag_ms: [AtomicU64; MAX_MACHINES],
 }
 
 impl Store {
@@ -249,7 +250,6 @@
             changes: Mutex::default(),
             changed: Condvar::new(),
             lag_ms: std::array::from_fn(|_| AtomicU64::new(0)),
-            refuses: std::array::from_fn(|_| AtomicU64::new(0)),
         })
     }
 
@@ -283,15 +283,7 @@
                     let mut conn = Conn::new(stream);
                     while let Ok(request) = conn.request() {
                         std::thread::sleep(Duration::from_millis(4));
-                        let (mut status, mut body) = store.answer(&request, machine);
-                        match store.refuses[machine].load(Ordering::Relaxed) {
-                            0 => (),
-                            1 => {
-                                std::thread::sleep(Duration::from_secs(30));
-                                return;
-                            }
-                            other => (status, body) = (other as u16, "{}".to_owned()),
-                        }
+                        let (status, body) = store.answer(&request, machine);
                         let headers = "Content-Type: application/json\r\n";
                         if conn.respond(status, headers, body.as_bytes()).is_err() {
                             return;
@@ -407,6 +399,8 @@
     /// Id of the server beside the node.
     pub id: String,
     pub slots: u32,
+    /// Start of the server, in Unix milliseconds.
+    pub born: u64,
 }
 
 /// Addresses of a run, all in `127.BLOCK.0.0/16`.
@@ -431,7 +425,7 @@
                     .iter()
                     .all(|p| TcpListener::bind((layout.ip(i), port + p)).is_ok())
             };
-            if (0..12).all(free) {
+            if (0..MAX_MACHINES).all(free) {
                 return Ok(layout);
             }
         }
@@ -658,6 +652,7 @@
     pub machine: Machine,
     pub leaving: Arc<AtomicBool>,
     pub gone: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -668,6 +663,7 @@
             machine: machine.clone(),
             leaving: Arc::default(),
             gone: Arc::default(),
+            connections: Arc::default(),
         };
         let (servers, handle) = (servers.clone(), server.clone());
         std::thread::spawn(move || {
@@ -676,6 +672,9 @@
                 if server.gone.load(Ordering::Relaxed) {
                     return;
                 }
+                if let Ok(clone) = stream.try_clone() {
+                    server.connections.lock().unwrap().push(clone);
+                }
                 let (servers, server, running) = (servers.clone(), server.clone(), running.clone());
                 std::thread::spawn(move || {
                     let mut conn = Conn::new(stream);
@@ -750,6 +749,9 @@
             servers.work_ms.load(Ordering::Relaxed),
         ));
         running.fetch_sub(1, Ordering::Relaxed);
+        if self.gone.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         let body = format!("answer to {id}\n");
         let headers = format!(
             "Dragonflylead-Request-Id: {id}\r\nDragonflylead-Response-Signature: s.{id}\r\n{load}"
@@ -767,18 +769,33 @@
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":{},\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":1,\
-             \"born\":1765000000000}}",
+             \"born\":{}}}",
             m.service,
             layout.server(m.index),
             m.zone,
-            m.slots
+            m.slots,
+            m.born
         )
     }
 
-    /// Ends the server: its port is closed.
+    /// Ends the server: its port is closed, and its connections.
     pub fn end(&self, layout: Layout) {
-        self.gone.store(true, Ordering::Relaxed);
-        let _ = TcpStream::connect(layout.server(self.machine.index));
+        Server::end_together(&[self], layout);
+    }
+
+    /// Ends servers at the same moment, as a switch or a rack that fails does.
+    pub fn end_together(servers: &[&Server], layout: Layout) {
+        for server in servers {
+            server.gone.store(true, Ordering::Relaxed);
+        }
+        for server in servers {
+            let _ = TcpStream::connect(layout.server(server.machine.index));
+        }
+        for server in servers {
+            for connection in server.connections.lock().unwrap().drain(..) {
+                let _ = connection.shutdown(std::net::Shutdown::Both);
+            }
+        }
     }
 }
 
