--- a/review/standin-2/standin.rs
+++ b/review/standin-2/standin.rs
@@ -632,16 +632,33 @@
     pub record: Record,
     pub runs: Mutex<Vec<Run>>,
     pub work_ms: AtomicU64,
-    pub running: AtomicUsize,
+    /// How requests for a path with `poison` crash the servers that run them.
+    pub poison: Poison,
+    /// Machines whose servers crashed by such a request and were not started again yet.
+    pub crashed: Mutex<Vec<usize>>,
+}
+
+/// When a request crashes the server that runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Poison {
+    Never,
+    BeforeTheAnswer,
+    /// Once the head and the first half of the body have been sent.
+    WithinTheAnswer,
 }
 
 impl Servers {
     pub fn new(record: &Record, work_ms: u64) -> Arc<Servers> {
+        Servers::with_poison(record, work_ms, Poison::Never)
+    }
+
+    pub fn with_poison(record: &Record, work_ms: u64, poison: Poison) -> Arc<Servers> {
         Arc::new(Servers {
             record: record.clone(),
             runs: Mutex::default(),
             work_ms: AtomicU64::new(work_ms),
-            running: AtomicUsize::new(0),
+            poison,
+            crashed: Mutex::default(),
         })
     }
 }
@@ -653,6 +670,7 @@
     pub leaving: Arc<AtomicBool>,
     pub gone: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
+    layout: Layout,
 }
 
 impl Server {
@@ -664,6 +682,7 @@
             leaving: Arc::default(),
             gone: Arc::default(),
             connections: Arc::default(),
+            layout,
         };
         let (servers, handle) = (servers.clone(), server.clone());
         std::thread::spawn(move || {
@@ -756,6 +775,22 @@
         let headers = format!(
             "Dragonflylead-Request-Id: {id}\r\nDragonflylead-Response-Signature: s.{id}\r\n{load}"
         );
+        if servers.poison != Poison::Never && request.target.contains("poison") {
+            let half = &body.as_bytes()[..body.len() / 2];
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n",
+                body.len()
+            );
+            if servers.poison == Poison::WithinTheAnswer {
+                conn.send(&[answer.as_bytes(), half].concat())?;
+            }
+            servers
+                .record
+                .add(format!("{} crashes while it runs {id}", machine.id));
+            servers.crashed.lock().unwrap().push(machine.index);
+            self.end(self.layout);
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         conn.respond(200, &headers, body.as_bytes())?;
         match closes {
             true => Err(io::ErrorKind::ConnectionAborted.into()),
