--- a/review/standin-2/quota.rs
+++ b/review/standin-2/quota.rs
@@ -1,4 +1,5 @@
-//! Two holders of one tenant's quota after a planned leave. See `review/6/claim.txt`.
+//! Two holders of one tenant's quota: after a planned leave (`review/6/claim.txt`), and while two
+//! machines are cut off from the store (`review/10/claim.txt`; second argument `cut`).
 
 mod standin;
 
@@ -34,6 +35,13 @@
 const LAG_MS: u64 = 3_000;
 const NEAR_LAG_MS: u64 = 100;
 const DRAIN_MS: u64 = 3_000;
+/// Machines that are cut off, of eight, and for how long.
+const CUT_MACHINES: usize = 2;
+const CUT_MS: u64 = 12_000;
+/// Time from the start of a cut to the removal of the entries: three heartbeat intervals.
+const EXPIRY_MS: u64 = 4_500;
+/// Time from the start of a cut to the first request of the hot tenant.
+const HOT_AT_MS: u64 = 7_000;
 const MACHINES: usize = 8;
 
 const TERMS: &str = "terms.bounds.addr_reuse_s=2\nterms.bounds.stable_window_ms=4000\n\
@@ -139,6 +147,7 @@
         .and_then(|v| v.parse().ok())
         .unwrap_or(LAG_MS);
     let record_path = std::env::args().nth(1).unwrap_or("record.txt".to_owned());
+    let cuts = std::env::args().nth(2).as_deref() == Some("cut");
     let record = Record::new();
     let layout = Layout::find()?;
     let zones = [
@@ -204,12 +213,30 @@
         record.write(&record_path)?;
         return Err(io::Error::other("no holder found"));
     };
+    let lag_ms = if cuts { NEAR_LAG_MS } else { lag_ms };
     store.lag_ms[holder].store(lag_ms, Ordering::Relaxed);
     record.add(format!(
         "tenant{tenant} is the hot one; the list as node {holder} reads it is {lag_ms} ms old"
     ));
     std::thread::sleep(Duration::from_millis(3_000));
 
+    let cut: Vec<usize> = (0..CUT_MACHINES).map(|at| (holder + at) % MACHINES).collect();
+    let key = |server: &Server| format!("servers/{}", server.machine.id);
+    let cut_at = Instant::now();
+    if cuts {
+        if trouble {
+            for &node in &cut {
+                store.cut[node].store(true, Ordering::Relaxed);
+            }
+            record.add(format!("nodes {cut:?} are cut off from the store"));
+            std::thread::sleep(Duration::from_millis(EXPIRY_MS));
+            cut.iter().for_each(|&node| store.remove(&key(&started[node])));
+            record.add("the entries of their servers have expired".to_owned());
+        }
+        let hot_at = cut_at + Duration::from_millis(HOT_AT_MS);
+        std::thread::sleep(hot_at.saturating_duration_since(Instant::now()));
+    }
+
     // The hot tenant's clients, spread evenly over some of the machines.
     let until = Instant::now() + Duration::from_millis(HOT_MS);
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
@@ -224,10 +251,18 @@
             }));
         }
     }
-    std::thread::sleep(Duration::from_millis(LEAVE_AT_MS));
     let server = started[holder].clone();
-    if trouble {
-        let key = format!("servers/{}", server.machine.id);
+    if trouble && cuts {
+        let ends_at = cut_at + Duration::from_millis(CUT_MS);
+        std::thread::sleep(ends_at.saturating_duration_since(Instant::now()));
+        for &node in &cut {
+            store.cut[node].store(false, Ordering::Relaxed);
+            store.put(&key(&started[node]), &started[node].entry(layout, "ready"));
+        }
+        record.add("the cut ends, the entries are back".to_owned());
+    } else if trouble {
+        std::thread::sleep(Duration::from_millis(LEAVE_AT_MS));
+        let key = key(&server);
         server.leaving.store(true, Ordering::Relaxed);
         store.put(&key, &server.entry(layout, "draining"));
         record.add(format!(
--- a/review/standin-2/standin.rs
+++ b/review/standin-2/standin.rs
@@ -242,6 +242,8 @@
     changed: Condvar,
     /// How far the serializable reads of each machine are behind, in milliseconds.
     pub lag_ms: [AtomicU64; MAX_MACHINES],
+    /// Whether a machine is cut off: its calls get no answer until the cut ends.
+    pub cut: [AtomicBool; MAX_MACHINES],
 }
 
 impl Store {
@@ -250,6 +252,7 @@
             changes: Mutex::default(),
             changed: Condvar::new(),
             lag_ms: std::array::from_fn(|_| AtomicU64::new(0)),
+            cut: std::array::from_fn(|_| AtomicBool::new(false)),
         })
     }
 
@@ -284,6 +287,12 @@
                     while let Ok(request) = conn.request() {
                         std::thread::sleep(Duration::from_millis(4));
                         let (status, body) = store.answer(&request, machine);
+                        if store.cut[machine].load(Ordering::Relaxed) {
+                            while store.cut[machine].load(Ordering::Relaxed) {
+                                std::thread::sleep(Duration::from_millis(20));
+                            }
+                            return;
+                        }
                         let headers = "Content-Type: application/json\r\n";
                         if conn.respond(status, headers, body.as_bytes()).is_err() {
                             return;
