Accept only statuses that HTTP defines as a response of a target

What callers saw: a target in trouble sent a response with status 000, and the caller got it as its answer. The node wrote the status line `HTTP/1.1 0 Status`, which is no HTTP at all. If the target's response also had the header of a refusal, the request was even reported as not run.

Cause: the head of a response was parsed, but the value of its status code was not checked: any three digits passed. The client of `dragonflylead-node` leaves the check to its library, which rejects codes below 100 but passes on those above 599 and an unasked 101.

Change: `parse_response` takes a head whose status is not from 100 to 599 for malformed, as the rest of such a message cannot be trusted either. The outcome is unknown, so that the caller gets 502, nothing is promised, and only an idempotent request may be sent again. The client of `dragonflylead-node` accepts final statuses only, from 200 to 599. All readers of responses go through one of these two places, but for those that take a JSON document with a success and nothing else (store, status, preview).

Tests, on the code before: a_response_with_an_invalid_head_reaches_no_caller got status 0 instead of 502; a_response_with_an_invalid_status_is_lost got "answered 0"; a_refusal_with_an_invalid_status_is_lost got "refused 0"; a_response_with_an_invalid_status_is_not_completed took 101 for complete. All pass now.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -1,7 +1,12 @@
 //! Parsing of request and response heads.
 
+use std::ops::RangeInclusive;
+
 use crate::http1::body::Framing;
 
+/// Status codes that HTTP defines (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Limit on the number of headers of one message.
 const MAX_HEADERS: usize = 100;
 
@@ -72,7 +77,7 @@
 /// Head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// Status code.
+    /// Status code, from 100 to 599.
     pub status: u16,
     /// Headers to forward, without the hop-by-hop headers.
     pub headers: Vec<Header>,
@@ -158,8 +163,11 @@
     if status != Ok(httparse::Status::Complete(len)) {
         return Err(MessageError::Malformed);
     }
-    let parsed = ParsedHeaders::parse(response.headers)?;
     let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(MessageError::Malformed);
+    }
+    let parsed = ParsedHeaders::parse(response.headers)?;
     let bodiless = status / 100 == 1 || status == 204 || status == 304 || method == "HEAD";
     let framing = match bodiless {
         true => Framing::Length(0),
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -1,6 +1,7 @@
 //! The HTTP client for targets and other nodes, and the outcome of a request.
 
 use std::io;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,9 @@
 use crate::transport::body::ResponseBody;
 use crate::transport::head::end_to_end_headers;
 
+/// Status codes of final responses. The client accepts others, too.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Time for which an idle connection to a target or node is kept open.
 ///
 /// Shorter than the keep-alive timeout of common servers, so that a request is rarely sent on a
@@ -76,6 +80,9 @@
         Err(_) => return Outcome::Unknown(UnknownKind::ConnectionLost),
     };
     let status = response.status();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Outcome::Unknown(UnknownKind::AnswerTruncated);
+    }
     let headers = end_to_end_headers(response.headers());
     if headers.contains_key(header::REFUSED) {
         return Outcome::NotRun(NotRunKind::TargetRefused);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -10,6 +10,8 @@
 mod at_most_once;
 #[path = "relays/background.rs"]
 mod background;
+#[path = "relays/broken_responses.rs"]
+mod broken_responses;
 #[path = "relays/config_versions.rs"]
 mod config_versions;
 #[path = "relays/crashes.rs"]
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -288,6 +288,10 @@
             (with_body(format!("HTTP/1.1 200 OK\r\n{signed}\r\n")), false)
         }
         p if p.contains("/garbage") => (b"\x01\x02no answer\r\n\r\n".to_vec(), true),
+        p if p.contains("/status-") => {
+            let status = p.split("/status-").nth(1).unwrap_or_default();
+            (with_body(whole.replacen("200 OK", status, 1)), true)
+        }
         p if p.contains("/unsigned") => {
             let echoed = format!("{}: {id}\r\n", HEADER_NAMES.request_id);
             let head = format!("HTTP/1.1 200 OK\r\n{echoed}Content-Length: {len}\r\n\r\n");
--- a/tests/target_client.rs
+++ b/tests/target_client.rs
@@ -1,10 +1,15 @@
-//! Responses of a faulty target: copies of earlier responses, and bytes that never end.
+//! Responses of a faulty target: invalid ones, copies of earlier ones, and bytes that never end.
 
 mod support {
     pub(crate) mod header_names;
     pub(crate) mod scripted_target;
 }
 
+#[path = "target_clients/http_client.rs"]
+mod http_client;
+#[path = "target_clients/invalid_heads.rs"]
+mod invalid_heads;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,6 +72,20 @@
     format!("{head}Content-Length: 2\r\n\r\nok").into_bytes()
 }
 
+/// How a response with a body of four bytes states where the body ends.
+const FRAMINGS: [&str; 3] = [
+    "Content-Length: 4\r\n\r\nbody",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "\r\nbody",
+];
+
+/// Returns a response to the request `1`, with `status` as the text of its status code.
+fn framed_response(status: &str, framing: &str) -> Vec<u8> {
+    let id = format!("{}: 1\r\n", HEADER_NAMES.request_id);
+    let signed = format!("{}: s\r\n", HEADER_NAMES.signature);
+    format!("HTTP/1.1 {status} X\r\n{id}{signed}{framing}").into_bytes()
+}
+
 /// What the target sends for the second request of a connection, before or instead of its response.
 struct CopyCase {
     name: &'static str,
@@ -179,20 +198,11 @@
 /// A response that is cut off anywhere must not be taken for a whole one.
 #[tokio::test]
 async fn a_response_that_is_cut_off_anywhere_is_lost() {
-    let framings = [
-        "Content-Length: 4\r\n\r\nbody",
-        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-        "\r\nbody",
-    ];
-    for framing in framings {
-        let head = format!(
-            "HTTP/1.1 200 OK\r\n{}: 1\r\n{}: s\r\n",
-            HEADER_NAMES.request_id, HEADER_NAMES.signature
-        );
-        let whole = format!("{head}{framing}").into_bytes();
+    for framing in FRAMINGS {
+        let whole = framed_response("200", framing);
         // A response without a length is whole wherever its connection ends.
         let first_whole = match framing.starts_with("\r\n") {
-            true => head.len() + 2,
+            true => whole.len() - "body".len(),
             false => whole.len(),
         };
         let sent = whole.clone();
