Take no response whose connection was reset during a long request for complete

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the request is written while the response is read. The write meets the reset first, and a socket reports its error only once. The next read returns the bytes that had arrived, and then a plain end of the connection, which is how a body without a length ends. The same holds for each other error that a write takes, such as a timeout.

Change: after a failed write, the end of the connection completes a body only if the target had ended its side before. The error of the write tells: Linux fails a write to a connection that was reset with `ECONNRESET`, and with `EPIPE` if the other side had been ended before the reset. Bodies with a length and chunked ones state their end, and are accepted as before. The outcome is unknown, so that the caller gets 502 and only an idempotent request may be sent again.

Elsewhere: the HTTP library of `dragonflylead-node` hands a failed write on as an error of the body; this is tested now, and was right before. Messages between nodes and requests of callers state their length.

--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -218,10 +218,14 @@
         tokio::select! {
             biased;
             written = write_request(&mut wr, out, &request.body, streamed) => match written {
+                Ok(()) => (true, read.await),
+                Err(WriteError::Io(e)) => {
+                    let read = read.await;
+                    (false, read.and_then(|read| read.check_end(&e)))
+                }
                 Err(WriteError::Broken(_)) => {
                     (false, Err(lost_response(UnknownKind::ConnectionLost, false)))
                 }
-                written => (written.is_ok(), read.await),
             },
             read = &mut read => (false, read),
         }
@@ -286,6 +290,7 @@
             return Ok(ReadResponse {
                 reusable: !head.close && buf.is_empty(),
                 keep_alive,
+                framing: head.framing,
                 response: TargetResponse {
                     status: head.status,
                     closes: head.close,
@@ -411,10 +416,25 @@
 /// A response, and whether and for how long its connection can be reused.
 struct ReadResponse {
     response: TargetResponse,
+    framing: Framing,
     reusable: bool,
     keep_alive: Duration,
 }
 
+impl ReadResponse {
+    /// Checks that a response whose request could not be written is complete. A socket reports its
+    /// error once: after the failed write, the next read sees the end of the connection, even if the
+    /// target has reset it in the middle of the response.
+    fn check_end(self, write_error: &io::Error) -> Result<ReadResponse, TargetOutcome> {
+        // `BrokenPipe` means that the target had ended its side before.
+        let ended_by_target = write_error.kind() == io::ErrorKind::BrokenPipe;
+        match self.framing == Framing::UntilClose && !ended_by_target {
+            true => Err(lost_response(UnknownKind::AnswerTruncated, false)),
+            false => Ok(self),
+        }
+    }
+}
+
 fn malformed_response(e: &MessageError) -> TargetOutcome {
     log::debug!("malformed response of the target: {e}");
     lost_response(UnknownKind::AnswerTruncated, false)
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -25,6 +25,9 @@
 
 const MAX_HEAD: usize = 64 * 1024;
 
+/// Time between an early response and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(30);
+
 /// A request that the target has started to run.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -324,10 +327,26 @@
     stream.write_all(&bytes).await.is_ok() && open
 }
 
+/// Sends a part of a response without a length, and resets the connection. Reads no body.
+async fn respond_and_reset(stream: &mut TcpStream, head: &RequestHead) {
+    let id = head.header(HEADER_NAMES.request_id).unwrap_or_default();
+    let text = format!(
+        "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: s.{id}\r\n\r\npart",
+        HEADER_NAMES.request_id, HEADER_NAMES.signature
+    );
+    stream.write_all(text.as_bytes()).await.ok();
+    tokio::time::sleep(RESET_DELAY).await;
+    stream.set_zero_linger().ok();
+}
+
 async fn read(stream: &mut TcpStream, buf: &mut BytesMut) -> Option<(RequestHead, Vec<u8>)> {
     let (head, mut decoder) = loop {
         if let Some((head, len)) = head::parse_request(buf, MAX_HEAD).ok()? {
             buf.advance(len);
+            if head.path().contains("/reset-early") {
+                respond_and_reset(stream, &head).await;
+                return None;
+            }
             let decoder = BodyDecoder::new(head.framing, 1 << 24);
             break (head, decoder);
         }
--- a/tests/support/scripted_target.rs
+++ b/tests/support/scripted_target.rs
@@ -24,6 +24,12 @@
     SendThenLater(Vec<u8>, Vec<u8>),
     /// Sends bytes and closes the connection.
     SendThenClose(Vec<u8>),
+    /// Sends bytes and resets the connection. It reads no body.
+    SendThenReset(Vec<u8>),
+    /// Sends bytes and, after a pause, resets the connection. It reads no body.
+    SendThenResetLater(Vec<u8>),
+    /// Sends bytes, ends its side of the connection and resets it. It reads no body.
+    SendThenEndAndReset(Vec<u8>),
     /// Sends bytes and then nothing more, with the connection open.
     SendThenStall(Vec<u8>),
     /// Reads nothing for a time, then reads this many bytes of a body and sends a response.
@@ -129,6 +135,23 @@
                 send(&mut stream, &bytes, counts).await;
                 return;
             }
+            Reaction::SendThenReset(bytes) => {
+                send(&mut stream, &bytes, counts).await;
+                stream.set_zero_linger().unwrap();
+                return;
+            }
+            Reaction::SendThenResetLater(bytes) => {
+                send(&mut stream, &bytes, counts).await;
+                tokio::time::sleep(LATER).await;
+                stream.set_zero_linger().unwrap();
+                return;
+            }
+            Reaction::SendThenEndAndReset(bytes) => {
+                send(&mut stream, &bytes, counts).await;
+                stream.shutdown().await.unwrap();
+                stream.set_zero_linger().unwrap();
+                return;
+            }
             Reaction::SendThenStall(bytes) => {
                 send(&mut stream, &bytes, counts).await;
                 std::future::pending().await
--- a/tests/target_client.rs
+++ b/tests/target_client.rs
@@ -1,10 +1,13 @@
-//! Responses of a faulty target: invalid ones, copies of earlier ones, and bytes that never end.
+//! Responses of a faulty target: invalid ones, parts, copies of earlier ones, and bytes that never
+//! end.
 
 mod support {
     pub(crate) mod header_names;
     pub(crate) mod scripted_target;
 }
 
+#[path = "target_clients/early_responses.rs"]
+mod early_responses;
 #[path = "target_clients/http_client.rs"]
 mod http_client;
 #[path = "target_clients/invalid_heads.rs"]
--- a/tests/target_clients/http_client.rs
+++ b/tests/target_clients/http_client.rs
@@ -1,4 +1,5 @@
-//! The HTTP client for targets and other nodes: responses that are not valid.
+//! The HTTP client for targets and other nodes: responses that are not valid, and responses that end
+//! early.
 
 use bytes::Bytes;
 use dragonflylead::error::Outcome;
@@ -7,9 +8,13 @@
 use dragonflylead::transport::http_client::HttpResponse;
 use futures_util::TryStreamExt;
 
+use crate::LONG_BODY;
 use crate::support::scripted_target::Reaction;
 use crate::support::scripted_target::ScriptedTarget;
 
+/// Number of parts in which a long body is sent.
+const PARTS: usize = 64;
+
 /// Limits up to which responses are buffered, in bytes. With 0, their bodies are streamed.
 const BUFFER_LIMITS: [usize; 2] = [0, 1 << 16];
 
@@ -27,6 +32,18 @@
     }
 }
 
+/// Sends a long request in parts and returns the body of the complete response, if there is one.
+async fn send_long_request(target: &ScriptedTarget, buffer_bytes: usize) -> Option<Bytes> {
+    let part = Bytes::from(vec![b'x'; LONG_BODY / PARTS]);
+    let parts = std::iter::repeat_n(part, PARTS).map(Ok::<Bytes, std::io::Error>);
+    let body = reqwest::Body::wrap_stream(futures_util::stream::iter(parts));
+    let client = http_client::build().unwrap();
+    let req = client
+        .post(format!("http://{}/", target.address))
+        .body(body);
+    complete_body(http_client::send(req, buffer_bytes).await).await
+}
+
 /// Returns whether a response with `head`, a status line and headers, is completed.
 async fn is_completed(head: &str, buffer_bytes: usize) -> bool {
     let response = format!("{head}Content-Length: 4\r\n\r\nbody").into_bytes();
@@ -62,3 +79,61 @@
         }
     }
 }
+
+/// Guards against a part of a response that is taken for all of it, because the write of a long
+/// request has met the reset of the connection.
+#[tokio::test]
+async fn a_response_that_is_reset_during_a_long_request_does_not_look_complete() {
+    struct Case {
+        name: &'static str,
+        react: fn(Vec<u8>) -> Reaction,
+        response: &'static str,
+        complete: bool,
+    }
+    let cases = [
+        Case {
+            name: "reset at once in a body without a length",
+            react: Reaction::SendThenReset,
+            response: "HTTP/1.1 200 OK\r\n\r\nbo",
+            complete: false,
+        },
+        Case {
+            name: "reset in a body without a length",
+            react: Reaction::SendThenResetLater,
+            response: "HTTP/1.1 200 OK\r\n\r\nbo",
+            complete: false,
+        },
+        Case {
+            name: "reset in a body with a length",
+            react: Reaction::SendThenResetLater,
+            response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo",
+            complete: false,
+        },
+        Case {
+            name: "reset in a chunked body",
+            react: Reaction::SendThenResetLater,
+            response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+            complete: false,
+        },
+        Case {
+            name: "reset after a body with a length",
+            react: Reaction::SendThenResetLater,
+            response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+            complete: true,
+        },
+    ];
+    for case in cases {
+        for buffer_bytes in BUFFER_LIMITS {
+            let target =
+                ScriptedTarget::start(move |_| (case.react)(case.response.as_bytes().to_vec()))
+                    .await;
+            let body = send_long_request(&target, buffer_bytes).await;
+            let expected = case.complete.then(|| Bytes::from_static(b"body"));
+            assert_eq!(
+                body, expected,
+                "{}, {buffer_bytes} bytes buffered",
+                case.name
+            );
+        }
+    }
+}
