Test that no response with an invalid header name reaches callers

Reported of similar systems: a target in trouble sent a response in whose head the name of a header held a blank or a control byte, and the caller got it with that line passed on, or with another body.

Not found here, and nothing but tests is added. The parser rejects the whole head: the outcome is unknown and the caller gets 502. a_header_name_with_any_invalid_byte_is_rejected puts each of the 256 bytes at each of 70 places of a name; a_response_with_an_invalid_header_name_is_lost plays 16 lines with three framings against a target, among them a length, an encoding and a transfer encoding with a blank before the colon; a_response_with_an_invalid_header_name_is_not_completed does so for the client of `dragonflylead-node`.

--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -169,6 +169,40 @@
     assert_eq!(not_http, Err(MessageError::Malformed));
 }
 
+/// Length of the header names that are tested byte by byte. It exceeds the blocks in which a parser
+/// may look at many bytes at once.
+const TESTED_NAME_BYTES: usize = 70;
+
+/// Returns whether a header name may contain `byte` (RFC 9110, section 5.6.2).
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Guards against header names with blanks or control bytes, which parsers treat differently.
+#[test]
+fn a_header_name_with_any_invalid_byte_is_rejected() {
+    let headers: [(&[u8], &[u8]); 2] = [
+        (b"HTTP/1.1 200 OK\r\nX-A: 1\r\n", b"\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: 1\r\n\r\n"),
+    ];
+    for byte in 0..=u8::MAX {
+        for at in 0..TESTED_NAME_BYTES {
+            // The first colon ends the name.
+            if byte == b':' && at > 0 {
+                continue;
+            }
+            let mut name = [b'x'; TESTED_NAME_BYTES];
+            name[at] = byte;
+            for (before, after) in headers {
+                let text = [before, &name, b": 1\r\n", after].concat();
+                let parsed = head::parse_response(&text, MAX_HEAD_BYTES, "GET");
+                let valid = parsed.is_ok_and(|parsed| parsed.is_some());
+                assert_eq!(valid, is_name_byte(byte), "byte {byte:#04x} at {at}");
+            }
+        }
+    }
+}
+
 #[test]
 fn bodies_end_as_their_framing_defines() {
     struct Case {
--- a/tests/relays/broken_responses.rs
+++ b/tests/relays/broken_responses.rs
@@ -18,11 +18,20 @@
     assert_eq!(response.header(HEADER_NAMES.signature), None, "{path}");
 }
 
-/// Guards against responses that are no HTTP and reach callers.
+/// Guards against responses that are no HTTP and reach callers, with a status, headers or a body that
+/// the target's service has not given.
 #[tokio::test]
 async fn a_response_with_an_invalid_head_reaches_no_caller() {
     let fleet = RelayFleet::start(86, &["a", "b"]).await;
-    let faults = ["status-000", "status-099", "status-600", "status-999"];
+    let faults = [
+        "status-000",
+        "status-099",
+        "status-600",
+        "status-999",
+        "name-with-blank",
+        "name-with-control",
+        "length-after-blank",
+    ];
     for route in ROUTES {
         for fault in faults {
             let path = format!("/{route}/{fault}");
--- a/tests/support/plain_target.rs
+++ b/tests/support/plain_target.rs
@@ -295,6 +295,17 @@
             let status = p.split("/status-").nth(1).unwrap_or_default();
             (with_body(whole.replacen("200 OK", status, 1)), true)
         }
+        p if p.contains("/name-with-blank") => (
+            with_body(whole.replacen("Content-", "X Y: 1\r\nContent-", 1)),
+            true,
+        ),
+        p if p.contains("/name-with-control") => (
+            with_body(whole.replacen("Content-", "X\x01Y: 1\r\nContent-", 1)),
+            true,
+        ),
+        p if p.contains("/length-after-blank") => {
+            (with_body(whole.replace("Length:", "Length :")), true)
+        }
         p if p.contains("/unsigned") => {
             let echoed = format!("{}: {id}\r\n", HEADER_NAMES.request_id);
             let head = format!("HTTP/1.1 200 OK\r\n{echoed}Content-Length: {len}\r\n\r\n");
--- a/tests/target_clients/http_client.rs
+++ b/tests/target_clients/http_client.rs
@@ -80,6 +80,29 @@
     }
 }
 
+/// Guards against headers whose name is not valid, which parsers skip, cut or repair in different
+/// ways.
+#[tokio::test]
+async fn a_response_with_an_invalid_header_name_is_not_completed() {
+    let lines = [
+        "X Y: 1\r\n",
+        "X-Y : 1\r\n",
+        " X-Y: 1\r\n",
+        "X\tY: 1\r\n",
+        "X\x00Y: 1\r\n",
+        "X\x1fY: 1\r\n",
+        "X\x7fY: 1\r\n",
+        "X\nY: 1\r\n",
+        "Content-Encoding : gzip\r\n",
+    ];
+    for line in lines {
+        for buffer_bytes in BUFFER_LIMITS {
+            let head = format!("HTTP/1.1 200 OK\r\n{line}");
+            assert!(!is_completed(&head, buffer_bytes).await, "{line:?}");
+        }
+    }
+}
+
 /// Guards against a part of a response that is taken for all of it, because the write of a long
 /// request has met the reset of the connection.
 #[tokio::test]
--- a/tests/target_clients/invalid_heads.rs
+++ b/tests/target_clients/invalid_heads.rs
@@ -55,3 +55,33 @@
     let outcome = outcome_of(framed_response("000", &framing)).await;
     assert_eq!(outcome, "lost");
 }
+
+/// Guards against headers whose name is not valid, which parsers skip, cut or repair in different
+/// ways. If such a header gives the length, the caller gets another body than the target sent.
+#[tokio::test]
+async fn a_response_with_an_invalid_header_name_is_lost() {
+    let lines = [
+        "X Y: 1\r\n",
+        "X-Y : 1\r\n",
+        " X-Y: 1\r\n",
+        "\tX-Y: 1\r\n",
+        "X\tY: 1\r\n",
+        "X\x00Y: 1\r\n",
+        "X\x1fY: 1\r\n",
+        "X\x7fY: 1\r\n",
+        "X\rY: 1\r\n",
+        "X\nY: 1\r\n",
+        ": 1\r\n",
+        "X-Y\r\n",
+        "Content-Length : 2\r\n",
+        "\x0bContent-Length: 2\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "Content-Encoding : gzip\r\n",
+    ];
+    for line in lines {
+        for framing in FRAMINGS {
+            let outcome = outcome_of(framed_response("200", &format!("{line}{framing}"))).await;
+            assert_eq!(outcome, "lost", "{line:?} {framing:?}");
+        }
+    }
+}
