Move the writing of requests to targets to a module of its own

The longest wait for memory is two constants, one for the parts of a request's body and one for a response, with the same value as before. Nothing else changes.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -41,6 +41,7 @@
 pub mod reader_sync;
 pub mod region_links;
 mod repeated_run;
+mod request_writer;
 pub mod response;
 mod response_writer;
 pub mod run;
--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -8,10 +8,8 @@
 use bytes::Buf;
 use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
-use tokio::net::tcp::WriteHalf;
 
 use crate::error::UnknownKind;
 use crate::http1::BodyDecoder;
@@ -27,8 +25,9 @@
 use crate::relay::header_names::HeaderNames;
 use crate::relay::idle_connections::IdleConnections;
 use crate::relay::idle_connections::TargetConnection;
-use crate::relay::incoming_body::BrokenBody;
 use crate::relay::incoming_body::IncomingBody;
+use crate::relay::request_writer;
+use crate::relay::request_writer::WriteError;
 use crate::relay::socket;
 
 /// Limit on the head of a response, in bytes.
@@ -56,16 +55,13 @@
 /// silent.
 const MAX_UNACKNOWLEDGED: Duration = Duration::from_millis(3_000);
 
-/// Length up to which a body is copied behind its head, so that both are written at once.
-const MAX_COPIED_BYTES: usize = 64 * 1024;
-
 /// Least room in the buffer for the next bytes of a response body.
 const MIN_READ_BYTES: usize = 2 * 1024;
 
 /// Most room in the buffer for the next bytes of a response body.
 const MAX_READ_BYTES: usize = 32 * 1024;
 
-/// Longest wait for the memory of a message.
+/// Longest wait for the memory of a response.
 const MAX_MEMORY_WAIT: Duration = Duration::from_millis(2_000);
 
 /// A request to the target.
@@ -217,7 +213,7 @@
         tokio::pin!(read);
         tokio::select! {
             biased;
-            written = write_request(&mut wr, out, &request.body, streamed) => match written {
+            written = request_writer::write(&mut wr, out, &request.body, streamed) => match written {
                 Ok(()) => (true, read.await),
                 Err(WriteError::Io(e)) => {
                     let read = read.await;
@@ -447,42 +443,6 @@
     }
 }
 
-/// Reason why a request was not written to its end.
-#[derive(Debug, thiserror::Error)]
-enum WriteError {
-    /// The connection to the target failed, or the target does not read on.
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    /// The rest of the body does not arrive.
-    #[error(transparent)]
-    Broken(#[from] BrokenBody),
-}
-
-/// Writes a request. A short body is written together with its head.
-async fn write_request(
-    wr: &mut WriteHalf<'_>,
-    mut head: Vec<u8>,
-    body: &Body,
-    streamed: Option<IncomingBody>,
-) -> Result<(), WriteError> {
-    if let Some(mut streamed) = streamed {
-        wr.write_all(&head).await?;
-        while let Some(part) = streamed.next(MAX_MEMORY_WAIT).await? {
-            wr.write_all(&part).await?;
-        }
-        return Ok(());
-    }
-    if body.len() <= MAX_COPIED_BYTES {
-        body.append_to(&mut head);
-        return Ok(wr.write_all(&head).await?);
-    }
-    wr.write_all(&head).await?;
-    for piece in body.pieces() {
-        wr.write_all(piece).await?;
-    }
-    Ok(())
-}
-
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
