--- a/src/relay/target_client.rs
+++ b/src/relay/target_client.rs
@@ -422,7 +422,7 @@
     /// error once: after the failed write, the next read sees the end of the connection, even if the
     /// target has reset it in the middle of the response.
     fn check_end(self, write_error: &io::Error) -> Result<ReadResponse, TargetOutcome> {
-        // `BrokenPipe` means that the target had ended its side before.
+        // Linux reports `BrokenPipe` if the target had ended its side before the reset.
         let ended_by_target = write_error.kind() == io::ErrorKind::BrokenPipe;
         match self.framing == Framing::UntilClose && !ended_by_target {
             true => Err(lost_response(UnknownKind::AnswerTruncated, false)),
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -17,7 +17,7 @@
 use crate::transport::body::ResponseBody;
 use crate::transport::head::end_to_end_headers;
 
-/// Status codes of final responses. The client accepts others, too.
+/// Status codes of final responses. The HTTP library passes on others, too.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// Time for which an idle connection to a target or node is kept open.
