--- a/tests/support/scripted_target.rs
+++ b/tests/support/scripted_target.rs
@@ -28,6 +28,8 @@
     SendThenReset(Vec<u8>),
     /// Sends bytes and, after a pause, resets the connection. It reads no body.
     SendThenResetLater(Vec<u8>),
+    /// Sends bytes and ends its side of the connection, which stays open otherwise. It reads no body.
+    SendThenEnd(Vec<u8>),
     /// Sends bytes, ends its side of the connection and resets it. It reads no body.
     SendThenEndAndReset(Vec<u8>),
     /// Sends bytes and then nothing more, with the connection open.
@@ -146,6 +148,11 @@
                 stream.set_zero_linger().unwrap();
                 return;
             }
+            Reaction::SendThenEnd(bytes) => {
+                send(&mut stream, &bytes, counts).await;
+                stream.shutdown().await.unwrap();
+                std::future::pending().await
+            }
             Reaction::SendThenEndAndReset(bytes) => {
                 send(&mut stream, &bytes, counts).await;
                 stream.shutdown().await.unwrap();
--- a/tests/target_clients/early_responses.rs
+++ b/tests/target_clients/early_responses.rs
@@ -1,4 +1,5 @@
-//! Responses that a target sends before it has read the request, and whose connection it resets.
+//! Responses that a target sends before it has read the request, and whose connection it ends or
+//! resets.
 
 use dragonflylead::memory::Body;
 use dragonflylead::memory::MemoryBudget;
@@ -75,6 +76,13 @@
         missing: 0,
         outcome: "answered 200",
     },
+    Case {
+        name: "end of a body without a length, while the request is not read",
+        react: Reaction::SendThenEnd,
+        framing: "\r\nbody",
+        missing: 0,
+        outcome: "answered 200",
+    },
     Case {
         name: "reset after the end of a body without a length",
         react: Reaction::SendThenEndAndReset,
--- a/tests/target_clients/invalid_heads.rs
+++ b/tests/target_clients/invalid_heads.rs
@@ -59,3 +59,21 @@
         }
     }
 }
+
+/// Guards against a check of statuses that also rejects interim responses.
+#[tokio::test]
+async fn interim_responses_before_the_response_are_skipped() {
+    let interim = ["100 Continue", "102 Processing", "103 Early Hints"];
+    for framing in FRAMINGS {
+        let mut sent = Vec::new();
+        for status in interim {
+            sent.extend_from_slice(format!("HTTP/1.1 {status}\r\nX-A: 1\r\n\r\n").as_bytes());
+            let whole = [&sent[..], &framed_response("200", framing)].concat();
+            assert_eq!(
+                outcome_of(whole).await,
+                "answered 200",
+                "{status} {framing:?}"
+            );
+        }
+    }
+}
